--- /dev/null
+++ b/crates/core/src/admission/fair_queue.rs
@@ -0,0 +1,164 @@
+//! A weighted fair queue by customer in front of one service.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::{CustomerId, RequestId};
+
+const DECREASE_FACTOR: f64 = 0.8;
+/// The least time between two decreases of the limit.
+const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The bounds of a queue.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueLimits {
+    /// The least number of requests that may be in flight.
+    pub in_flight_min: u32,
+    /// The most requests that may be in flight.
+    pub in_flight_max: u32,
+    /// The most requests of one customer that may wait.
+    pub waiting_per_customer: usize,
+}
+
+/// A weighted fair queue by customer, with a limit on requests in flight that adapts to shed load.
+///
+/// Start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996): the waiting request with the
+/// least start tag goes first, and a customer's tags grow by the inverse of its weight.
+#[derive(Debug)]
+pub struct FairQueue {
+    limits: QueueLimits,
+    in_flight: u32,
+    limit: f64,
+    decreased_at: Duration,
+    virtual_time: f64,
+    customers: BTreeMap<CustomerId, CustomerQueue>,
+}
+
+#[derive(Debug, Default)]
+struct CustomerQueue {
+    finish_tag: f64,
+    /// Requests with their start tag and deadline. Invariant: tags rise.
+    waiting: VecDeque<(RequestId, f64, Duration)>,
+}
+
+/// What becomes of an offered request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// The request goes out now.
+    Start,
+    /// The request waits.
+    Waiting,
+    /// Too many requests of the customer wait.
+    Full,
+}
+
+/// Building.
+impl FairQueue {
+    /// Creates an empty queue.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            in_flight: 0,
+            limit: f64::from(limits.in_flight_max),
+            decreased_at: Duration::ZERO,
+            virtual_time: 0.0,
+            customers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over bounds that follow from an edited service.
+    pub fn set_limits(&mut self, limits: QueueLimits) {
+        if limits.in_flight_max != self.limits.in_flight_max {
+            self.limit = f64::from(limits.in_flight_max);
+        }
+        self.limits = limits;
+    }
+}
+
+/// Queueing.
+impl FairQueue {
+    /// Offers a request of a customer whose share is proportional to `weight`.
+    pub fn offer(
+        &mut self,
+        customer: &CustomerId,
+        weight: f64,
+        request: RequestId,
+        deadline_at: Duration,
+    ) -> Offer {
+        let idle = self.customers.values().all(|queue| queue.waiting.is_empty());
+        let virtual_time = self.virtual_time;
+        let queue = self.customers.entry(customer.clone()).or_default();
+        let start_tag = queue.finish_tag.max(virtual_time);
+        if idle && f64::from(self.in_flight) < self.limit {
+            queue.finish_tag = start_tag + 1.0 / weight;
+            self.virtual_time = start_tag;
+            self.in_flight += 1;
+            return Offer::Start;
+        }
+        if queue.waiting.len() >= self.limits.waiting_per_customer {
+            return Offer::Full;
+        }
+        queue.finish_tag = start_tag + 1.0 / weight;
+        queue.waiting.push_back((request, start_tag, deadline_at));
+        Offer::Waiting
+    }
+
+    /// Takes the next request that may go out, and those that cannot meet their deadline.
+    pub fn next(&mut self, now: Duration, service_time: Duration) -> (Option<RequestId>, Vec<RequestId>) {
+        let mut late = Vec::new();
+        while f64::from(self.in_flight) < self.limit {
+            let heads = self.customers.iter().filter_map(|(id, q)| Some((id, q.waiting.front()?)));
+            let first = heads.min_by(|a, b| a.1.1.total_cmp(&b.1.1)).map(|(id, _)| id.clone());
+            let Some(customer) = first else { break };
+            let Some(queue) = self.customers.get_mut(&customer) else { break };
+            let Some((request, start_tag, deadline_at)) = queue.waiting.pop_front() else { break };
+            if now + service_time > deadline_at {
+                late.push(request);
+                continue;
+            }
+            self.virtual_time = self.virtual_time.max(start_tag);
+            self.in_flight += 1;
+            return (Some(request), late);
+        }
+        self.forget_idle();
+        (None, late)
+    }
+
+    /// Notes that a request that went out has ended.
+    pub fn finish(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Removes a waiting request; returns whether it was there.
+    pub fn abandon(&mut self, customer: &str, request: RequestId) -> bool {
+        let Some(queue) = self.customers.get_mut(customer) else { return false };
+        let before = queue.waiting.len();
+        queue.waiting.retain(|(id, _, _)| *id != request);
+        queue.waiting.len() < before
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.customers.values().map(|queue| queue.waiting.len()).sum()
+    }
+
+    /// Raises the limit after a good answer.
+    pub fn note_good(&mut self) {
+        let max = f64::from(self.limits.in_flight_max);
+        self.limit = (self.limit + 1.0 / self.limit).min(max);
+    }
+
+    /// Lowers the limit after an instance shed load.
+    pub fn note_shed(&mut self, now: Duration) {
+        if now >= self.decreased_at + DECREASE_INTERVAL {
+            self.decreased_at = now;
+            let min = f64::from(self.limits.in_flight_min);
+            self.limit = (self.limit * DECREASE_FACTOR).max(min);
+        }
+    }
+
+    fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.customers.retain(|_, q| !q.waiting.is_empty() || q.finish_tag > virtual_time);
+    }
+}
--- /dev/null
+++ b/crates/core/src/attempt/mod.rs
@@ -0,0 +1,7 @@
+//! Requests under way and their attempts.
+
+mod outcome;
+mod request;
+
+pub use outcome::{AttemptOutcome, FailureKind};
+pub(crate) use request::{ActiveRequest, Attempt, Stage};
--- /dev/null
+++ b/crates/core/src/declaration/route_table.rs
@@ -0,0 +1,66 @@
+//! An index of the routes by path prefix.
+
+use std::collections::BTreeMap;
+
+use super::Route;
+
+/// Finds the route of a request in one look-up per path segment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RouteTable {
+    /// Names of routes by prefix without a trailing slash. Invariant: no list is empty.
+    by_prefix: BTreeMap<String, Vec<String>>,
+}
+
+impl RouteTable {
+    pub(crate) fn replace(&mut self, name: &str, old: Option<&Route>, new: Option<&Route>) {
+        if let Some(old) = old {
+            let prefix = trim(&old.path_prefix);
+            if let Some(names) = self.by_prefix.get_mut(prefix) {
+                names.retain(|kept| kept != name);
+                if names.is_empty() {
+                    self.by_prefix.remove(prefix);
+                }
+            }
+        }
+        if let Some(new) = new {
+            let names = self.by_prefix.entry(trim(&new.path_prefix).to_owned()).or_default();
+            names.push(name.to_owned());
+            names.sort();
+        }
+    }
+
+    pub(crate) fn find<'a>(
+        &'a self,
+        routes: &BTreeMap<String, Route>,
+        host: &str,
+        path: &str,
+        method: &str,
+    ) -> Option<&'a str> {
+        let mut prefix = trim(path);
+        loop {
+            if let Some(names) = self.by_prefix.get(prefix) {
+                let matching = |name: &&String| {
+                    routes.get(*name).is_some_and(|route| matches(route, host, method))
+                };
+                let exact = |name: &&String| routes.get(*name).is_some_and(|r| r.host.is_some());
+                let found = names.iter().filter(matching).max_by_key(exact);
+                if let Some(name) = found {
+                    return Some(name);
+                }
+            }
+            if prefix.is_empty() {
+                return None;
+            }
+            prefix = &prefix[..prefix.rfind('/').unwrap_or(0)];
+        }
+    }
+}
+
+fn trim(path: &str) -> &str {
+    path.trim_end_matches('/')
+}
+
+fn matches(route: &Route, host: &str, method: &str) -> bool {
+    let host_matches = route.host.as_deref().is_none_or(|wanted| wanted.eq_ignore_ascii_case(host));
+    host_matches && (route.methods.is_empty() || route.methods.iter().any(|m| m == method))
+}
--- /dev/null
+++ b/crates/core/src/health/book.rs
@@ -0,0 +1,290 @@
+//! The health of all services, as one host sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::service_health::VERDICT_DURATION;
+use super::{DetectorSettings, Evidence, InstanceEvidence, ServiceHealth, ServiceView, Verdict};
+use crate::lease::{LeaseBook, shard_of};
+use crate::{
+    DataCentreId, Declaration, Effect, HostId, InstanceId, Message, Outbox, ServiceId, ShardId,
+};
+
+const LOCAL_SETTINGS: DetectorSettings = DetectorSettings {
+    failed_share_healthy: 0.02,
+    failed_share_excess: 0.3,
+    slow_share_healthy: 0.1,
+    slow_share_excess: 0.5,
+    threshold: 7.0,
+};
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+const IDLE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a health decision needs to know.
+pub(crate) struct HealthContext<'a> {
+    pub(crate) now: Duration,
+    pub(crate) me: HostId,
+    pub(crate) data_centre: &'a DataCentreId,
+    pub(crate) declaration: &'a Declaration,
+}
+
+/// One observation of an instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Sample {
+    /// A good answer after this time.
+    Good(Duration),
+    /// A good answer from an attempt that was already counted as slow.
+    GoodLate(Duration),
+    /// No answer within the service's usual tail yet.
+    Slow,
+    /// Refused, reset, cut short or answered with a fault.
+    Failed,
+    /// Turned away for load.
+    Shed,
+}
+
+/// The health of all services, as one host sees it.
+#[derive(Debug, Default)]
+pub(crate) struct HealthBook {
+    pub(crate) services: BTreeMap<ServiceId, ServiceView>,
+    /// Invariant: only services whose shard this host holds.
+    held: BTreeMap<ServiceId, ServiceHealth>,
+    reported_at: Duration,
+    idle_reported_at: Duration,
+}
+
+/// Observing.
+impl HealthBook {
+    pub(crate) fn view(&mut self, service: &str) -> &mut ServiceView {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), ServiceView::new());
+        }
+        self.services.entry(service.to_owned()).or_insert_with(ServiceView::new)
+    }
+
+    pub(crate) fn observe(&mut self, service: &str, instance: &str, sample: Sample, now: Duration) {
+        let baseline = self.local_baseline(service);
+        let view = self.view(service);
+        let tail = view.tail();
+        view.unreported += 1;
+        let mut evidence = Evidence::default();
+        match sample {
+            Sample::Good(latency) => {
+                view.latencies.record(latency, now);
+                evidence.good = 1;
+                if latency <= tail { evidence.fast = 1 } else { evidence.slow = 1 }
+            }
+            Sample::GoodLate(latency) => {
+                view.latencies.record(latency, now);
+                evidence.good = 1;
+            }
+            Sample::Slow => evidence.slow = 1,
+            Sample::Failed => evidence.failed = 1,
+            Sample::Shed => {}
+        }
+        let instance = view.instance(instance);
+        match sample {
+            Sample::Good(latency) | Sample::GoodLate(latency) => instance.note_latency(latency),
+            Sample::Slow => instance.note_latency(tail),
+            Sample::Shed => instance.note_shed(now),
+            Sample::Failed => {}
+        }
+        instance.unreported.add(&evidence);
+        instance.detector.observe(&evidence, baseline, &LOCAL_SETTINGS, now);
+        if instance.detector.is_ill(&LOCAL_SETTINGS) && !instance.is_avoided(now) {
+            instance.avoid(now);
+        }
+    }
+
+    pub(crate) fn on_probe(&mut self, service: &str, instance: &str, latency: Option<Duration>) {
+        let view = self.view(service);
+        view.unreported += 1;
+        let usual = view.tail();
+        let instance = view.instance(instance);
+        instance.probing = false;
+        match latency {
+            Some(latency) if latency <= usual => instance.probes_good += 1,
+            _ => instance.probes_failed += 1,
+        }
+    }
+
+    fn local_baseline(&self, service: &str) -> (f64, f64) {
+        let Some(view) = self.services.get(service) else { return (0.0, 0.0) };
+        let count = view.instances.len();
+        let mut failed: Vec<f64> =
+            view.instances.values().map(|i| i.detector.failed_share()).collect();
+        let mut slow: Vec<f64> = view.instances.values().map(|i| i.detector.slow_share()).collect();
+        failed.sort_by(f64::total_cmp);
+        slow.sort_by(f64::total_cmp);
+        let median = |shares: &[f64]| shares.get(count / 2).copied().unwrap_or(0.0);
+        (median(&failed), median(&slow))
+    }
+}
+
+/// Reporting.
+impl HealthBook {
+    /// Reports what was observed to the holders of the services.
+    pub(crate) fn round(
+        &mut self,
+        context: &HealthContext<'_>,
+        leases: &mut LeaseBook,
+        out: &mut Outbox,
+    ) {
+        if context.now < self.reported_at + REPORT_INTERVAL {
+            return;
+        }
+        self.reported_at = context.now;
+        let idle_due = context.now >= self.idle_reported_at + IDLE_REPORT_INTERVAL;
+        if idle_due {
+            self.idle_reported_at = context.now;
+        }
+        let due: Vec<ServiceId> = self
+            .services
+            .iter()
+            .filter(|(_, view)| view.unreported > 0 || idle_due)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for service in due {
+            self.report(context, leases, &service, out);
+        }
+    }
+
+    fn report(
+        &mut self,
+        context: &HealthContext<'_>,
+        leases: &mut LeaseBook,
+        service: &ServiceId,
+        out: &mut Outbox,
+    ) {
+        let now = context.now;
+        let Some(view) = self.services.get_mut(service) else { return };
+        let (instances, applied) = view.take_report(now);
+        let shard = shard_of(service);
+        let sent_at_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
+        let held_since = leases.held_since(shard, now);
+        if let Some(held_since) = held_since {
+            let reply = self.judge(context, held_since, service, context.data_centre, &instances, &applied);
+            self.apply(context, service, sent_at_us, reply, out);
+            return;
+        }
+        let supported = leases.supported(shard, now).filter(|host| *host != context.me);
+        let voters = leases.voter_map.voters(context.declaration.hosts(), shard);
+        let Some(view) = self.services.get_mut(service) else { return };
+        let others: Vec<HostId> = voters.iter().filter(|v| **v != context.me).copied().collect();
+        let turn = view.misses as usize % others.len().max(1);
+        let target = view.holder.or(supported).or_else(|| others.get(turn).copied());
+        let Some(target) = target else { return };
+        view.holder = Some(target);
+        view.misses += 1;
+        if view.misses % MISSES_BEFORE_TURN == 0 {
+            view.holder = None;
+        }
+        let service = service.clone();
+        out.send(target, Message::Evidence { service, sent_at_us, instances, applied });
+    }
+
+    pub(crate) fn on_not_holder(&mut self, from: HostId, shard: ShardId, holder: Option<HostId>) {
+        let concerned = |(id, view): &(&ServiceId, &mut ServiceView)| {
+            shard_of(id) == shard && view.holder == Some(from)
+        };
+        for (_, view) in self.services.iter_mut().filter(concerned) {
+            view.holder = holder.filter(|host| *host != from);
+        }
+    }
+
+    /// Applies the ejections that the holder sent.
+    pub(crate) fn apply(
+        &mut self,
+        context: &HealthContext<'_>,
+        service: &ServiceId,
+        sent_at_us: u64,
+        verdicts: Vec<Verdict>,
+        out: &mut Outbox,
+    ) {
+        let until = Duration::from_micros(sent_at_us) + VERDICT_DURATION;
+        let view = self.view(service);
+        view.misses = 0;
+        for (id, instance) in &mut view.instances {
+            if !verdicts.iter().any(|verdict| verdict.instance == *id) {
+                instance.verdict = None;
+            }
+        }
+        for verdict in verdicts {
+            let declared = context.declaration.service(service);
+            let probe = declared.filter(|_| verdict.probe).and_then(|declared| {
+                let found = declared.instances.get(&verdict.instance)?;
+                Some((found.address, declared.probe_path.clone()))
+            });
+            let instance = view.instance(&verdict.instance);
+            if let Some((address, path)) = probe
+                && !instance.probing
+            {
+                instance.probing = true;
+                out.push(Effect::Probe {
+                    service: service.clone(),
+                    instance: verdict.instance.clone(),
+                    address,
+                    path,
+                    timeout: PROBE_TIMEOUT,
+                });
+            }
+            instance.verdict = Some((verdict, until));
+        }
+    }
+}
+
+const MISSES_BEFORE_TURN: u32 = 3;
+
+/// Holding.
+impl HealthBook {
+    /// Takes a report as holder and returns the ejections for the reporting host.
+    pub(crate) fn judge(
+        &mut self,
+        context: &HealthContext<'_>,
+        held_since: Duration,
+        service: &ServiceId,
+        data_centre: &DataCentreId,
+        instances: &[InstanceEvidence],
+        applied: &[Verdict],
+    ) -> Vec<Verdict> {
+        let Some(declared) = context.declaration.service(service) else { return Vec::new() };
+        let health =
+            self.held.entry(service.clone()).or_insert_with(|| ServiceHealth::new(held_since));
+        health.report(declared, data_centre, instances, applied, context.now);
+        health.verdicts(data_centre, context.now)
+    }
+
+    /// Drops the state of shards that this host no longer holds.
+    pub(crate) fn drop_shards(&mut self, shards: &[ShardId]) {
+        self.held.retain(|service, _| !shards.contains(&shard_of(service)));
+    }
+
+    /// Returns the ejections that this host has granted, by service.
+    pub(crate) fn granted(&self) -> BTreeMap<ServiceId, Vec<(InstanceId, String)>> {
+        self.held.iter().map(|(id, health)| (id.clone(), health.ejected())).collect()
+    }
+}
+
+impl ServiceView {
+    fn take_report(&mut self, now: Duration) -> (Vec<InstanceEvidence>, Vec<Verdict>) {
+        self.unreported = 0;
+        let mut report = Vec::new();
+        let mut applied = Vec::new();
+        for (id, view) in &mut self.instances {
+            if let Some((verdict, _)) = view.verdict.as_ref().filter(|(_, until)| now < *until) {
+                applied.push(verdict.clone());
+            }
+            let entry = InstanceEvidence {
+                instance: id.clone(),
+                attempts: std::mem::take(&mut view.unreported),
+                probes_good: std::mem::take(&mut view.probes_good),
+                probes_failed: std::mem::take(&mut view.probes_failed),
+            };
+            if !entry.attempts.is_empty() || entry.probes_good > 0 || entry.probes_failed > 0 {
+                report.push(entry);
+            }
+        }
+        (report, applied)
+    }
+}
--- /dev/null
+++ b/crates/core/src/health/service_health.rs
@@ -0,0 +1,297 @@
+//! The health of a service's instances, as its holder sees it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::service_view::floor_count;
+use super::{Detector, DetectorSettings, Evidence, InstanceEvidence, Scope, Verdict, VerdictPhase};
+use crate::{DataCentreId, InstanceId, Service};
+
+const SETTINGS: DetectorSettings = DetectorSettings {
+    failed_share_healthy: 0.02,
+    failed_share_excess: 0.2,
+    slow_share_healthy: 0.1,
+    slow_share_excess: 0.4,
+    threshold: 10.0,
+};
+const EJECT_FIRST: Duration = Duration::from_secs(2);
+const EJECT_MAX: Duration = Duration::from_secs(60);
+/// How long an instance must stay in use before its ejection starts short again.
+const EJECT_MEMORY: Duration = Duration::from_secs(120);
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+const PROBES_TO_RETURN: u32 = 3;
+const RETURN_TIME: Duration = Duration::from_secs(3);
+const RETURN_START_PERCENT: f64 = 10.0;
+/// How long a host keeps an ejection that is not renewed.
+pub(crate) const VERDICT_DURATION: Duration = Duration::from_secs(3);
+/// How long a new instance may be slow.
+const COLD_TIME: Duration = Duration::from_secs(5);
+
+/// The health of a service's instances, as its holder sees it.
+///
+/// Invariant: ejected, returning, drained, leaving and cold instances together never leave fewer
+/// than the service's floor in use. A new holder takes over the ejections that hosts still apply
+/// and adds none before those that it may not know of have lapsed.
+#[derive(Debug)]
+pub struct ServiceHealth {
+    grants_from: Duration,
+    started_at: Duration,
+    instances: BTreeMap<InstanceId, Watched>,
+}
+
+#[derive(Debug, Default)]
+struct Watched {
+    seen_at: Duration,
+    by_data_centre: BTreeMap<DataCentreId, Detector>,
+    ejection: Option<Ejection>,
+    ejections: u32,
+    returned_at: Duration,
+}
+
+#[derive(Debug)]
+struct Ejection {
+    scope: Scope,
+    until: Duration,
+    probes_good: u32,
+    probed_at: Duration,
+    returning_since: Option<Duration>,
+}
+
+/// Building.
+impl ServiceHealth {
+    /// Creates the view of a host that has held the service's shard since `held_since`.
+    pub fn new(held_since: Duration) -> Self {
+        let grants_from = held_since + VERDICT_DURATION;
+        Self { grants_from, started_at: held_since, instances: BTreeMap::new() }
+    }
+}
+
+/// Changing.
+impl ServiceHealth {
+    /// Adds a host's report.
+    pub(crate) fn report(
+        &mut self,
+        service: &Service,
+        data_centre: &DataCentreId,
+        instances: &[InstanceEvidence],
+        applied: &[Verdict],
+        now: Duration,
+    ) {
+        if now < self.grants_from {
+            self.adopt(applied, now);
+        }
+        let baseline = self.baseline();
+        for entry in instances.iter().filter(|e| service.instances.contains_key(&e.instance)) {
+            let started_at = self.started_at;
+            let watched = self.instances.entry(entry.instance.clone()).or_insert_with(|| Watched {
+                seen_at: if now > started_at + VERDICT_DURATION { now } else { Duration::ZERO },
+                ..Watched::default()
+            });
+            watched.observe(data_centre, entry, baseline, now);
+        }
+        self.instances.retain(|id, _| service.instances.contains_key(id));
+        self.judge(service, now);
+    }
+
+    /// Returns the ejections for a host, and asks it for a probe where one is due.
+    pub(crate) fn verdicts(&mut self, data_centre: &DataCentreId, now: Duration) -> Vec<Verdict> {
+        let concerned = |scope: &Scope| match scope {
+            Scope::Fleet => true,
+            Scope::DataCentre(id) => id == data_centre,
+        };
+        let mut verdicts = Vec::new();
+        for (instance, watched) in &mut self.instances {
+            let Some(ejection) = watched.ejection.as_mut().filter(|e| concerned(&e.scope)) else {
+                continue;
+            };
+            let phase = ejection.phase(now);
+            let probe = phase == VerdictPhase::Ejected && ejection.probe_due(now);
+            let (instance, scope) = (instance.clone(), ejection.scope.clone());
+            verdicts.push(Verdict { instance, scope, phase, probe });
+        }
+        verdicts
+    }
+
+    /// Returns the ejected instances, with the scope as text.
+    pub fn ejected(&self) -> Vec<(InstanceId, String)> {
+        let scope = |scope: &Scope| match scope {
+            Scope::Fleet => "fleet".to_owned(),
+            Scope::DataCentre(id) => format!("data centre {id}"),
+        };
+        self.instances
+            .iter()
+            .filter_map(|(id, w)| w.ejection.as_ref().map(|e| (id.clone(), scope(&e.scope))))
+            .collect()
+    }
+}
+
+/// Judging.
+impl ServiceHealth {
+    fn adopt(&mut self, applied: &[Verdict], now: Duration) {
+        for verdict in applied {
+            let watched = self.instances.entry(verdict.instance.clone()).or_default();
+            if watched.ejection.is_none() {
+                watched.eject(verdict.scope.clone(), now);
+            }
+        }
+    }
+
+    /// Returns the shares of failed and slow attempts of the median instance.
+    fn baseline(&self) -> (f64, f64) {
+        let median = |share: fn(&Detector) -> f64| {
+            let mut shares: Vec<f64> = self
+                .instances
+                .values()
+                .filter(|watched| watched.ejection.is_none())
+                .map(|watched| watched.mean_share(share))
+                .collect();
+            shares.sort_by(f64::total_cmp);
+            shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+        };
+        (median(Detector::failed_share), median(Detector::slow_share))
+    }
+
+    fn judge(&mut self, service: &Service, now: Duration) {
+        self.instances.values_mut().for_each(|watched| watched.finish_return(now));
+        if now < self.grants_from {
+            return;
+        }
+        let floor = floor_count(service.instances.len(), service.floor_percent);
+        let mut suspects: Vec<(f64, InstanceId, Scope)> = self
+            .instances
+            .iter()
+            .filter(|(id, _)| service.instances.get(*id).is_some_and(|i| i.is_active()))
+            .filter_map(|(id, w)| w.suspicion().map(|(sum, scope)| (sum, id.clone(), scope)))
+            .collect();
+        suspects.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, id, scope) in suspects {
+            let widened = self.instances.get(&id).is_some_and(|w| w.ejection.is_some());
+            if !widened && self.in_use(service, now) <= floor {
+                continue;
+            }
+            if let Some(watched) = self.instances.get_mut(&id) {
+                watched.eject(scope, now);
+            }
+        }
+    }
+
+    /// Counts the instances that carry their full share.
+    fn in_use(&self, service: &Service, now: Duration) -> usize {
+        let full = |id: &InstanceId| {
+            self.instances.get(id).is_none_or(|w| w.ejection.is_none() && !w.is_cold(now))
+        };
+        service.instances.iter().filter(|(id, i)| i.is_active() && full(id)).count()
+    }
+}
+
+impl Watched {
+    fn is_cold(&self, now: Duration) -> bool {
+        now < self.seen_at + COLD_TIME && !self.seen_at.is_zero()
+    }
+
+    fn observe(
+        &mut self,
+        data_centre: &DataCentreId,
+        entry: &InstanceEvidence,
+        baseline: (f64, f64),
+        now: Duration,
+    ) {
+        let mut attempts = entry.attempts;
+        if self.is_cold(now) {
+            attempts = Evidence { fast: 0, slow: 0, ..attempts };
+        }
+        if let Some(ejection) = &mut self.ejection {
+            ejection.note_probes(entry);
+            if ejection.may_return(now) {
+                ejection.returning_since = Some(now);
+                self.by_data_centre.clear();
+            }
+            if ejection.returning_since.is_none() && ejection.scope == Scope::Fleet {
+                return;
+            }
+        }
+        let detector = self.by_data_centre.entry(data_centre.clone()).or_default();
+        detector.observe(&attempts, baseline, &SETTINGS, now);
+    }
+
+    /// Returns the strength and the scope of the evidence, when it asks for an ejection.
+    fn suspicion(&self) -> Option<(f64, Scope)> {
+        let ill: Vec<(&DataCentreId, &Detector)> =
+            self.by_data_centre.iter().filter(|(_, d)| d.is_ill(&SETTINGS)).collect();
+        let sum: f64 = self.by_data_centre.values().map(Detector::sum).sum();
+        let scope = match ill.as_slice() {
+            [] => None,
+            [(id, _)] if self.is_fine_elsewhere(id) => Some(Scope::DataCentre((*id).clone())),
+            _ => Some(Scope::Fleet),
+        }?;
+        let returning = self.ejection.as_ref().is_some_and(|e| e.returning_since.is_some());
+        let wider = match &self.ejection {
+            Some(ejection) => ejection.scope != scope && scope == Scope::Fleet,
+            None => true,
+        };
+        (returning || wider).then_some((sum, scope))
+    }
+
+    fn is_fine_elsewhere(&self, ill: &DataCentreId) -> bool {
+        let others = self.by_data_centre.iter().filter(|(id, _)| *id != ill);
+        others.map(|(_, detector)| detector.sum()).fold(0.0, f64::max) < SETTINGS.threshold / 2.0
+    }
+
+    fn mean_share(&self, share: fn(&Detector) -> f64) -> f64 {
+        let count = self.by_data_centre.len().max(1) as f64;
+        self.by_data_centre.values().map(share).sum::<f64>() / count
+    }
+
+    fn eject(&mut self, scope: Scope, now: Duration) {
+        if now > self.returned_at + EJECT_MEMORY {
+            self.ejections = 0;
+        }
+        let pause = EJECT_FIRST * 2u32.saturating_pow(self.ejections.min(8));
+        self.ejections += 1;
+        self.ejection = Some(Ejection {
+            scope,
+            until: now + pause.min(EJECT_MAX),
+            probes_good: 0,
+            probed_at: now,
+            returning_since: None,
+        });
+        self.by_data_centre.clear();
+    }
+
+    fn finish_return(&mut self, now: Duration) {
+        let since = self.ejection.as_ref().and_then(|ejection| ejection.returning_since);
+        if since.is_some_and(|since| now >= since + RETURN_TIME) {
+            self.ejection = None;
+            self.returned_at = now;
+        }
+    }
+}
+
+impl Ejection {
+    fn note_probes(&mut self, entry: &InstanceEvidence) {
+        if entry.probes_failed > 0 {
+            self.probes_good = 0;
+        }
+        self.probes_good += entry.probes_good;
+    }
+
+    fn may_return(&self, now: Duration) -> bool {
+        let proved = self.probes_good >= PROBES_TO_RETURN && now >= self.until;
+        proved && self.returning_since.is_none()
+    }
+
+    fn phase(&self, now: Duration) -> VerdictPhase {
+        let Some(since) = self.returning_since else { return VerdictPhase::Ejected };
+        let part = now.saturating_sub(since).as_secs_f64() / RETURN_TIME.as_secs_f64();
+        let percent = RETURN_START_PERCENT + (100.0 - RETURN_START_PERCENT) * part;
+        VerdictPhase::Returning(percent.min(100.0) as u8)
+    }
+
+    fn probe_due(&mut self, now: Duration) -> bool {
+        let due = now >= self.probed_at + PROBE_INTERVAL;
+        if due {
+            self.probed_at = now;
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/operators.rs
@@ -0,0 +1,348 @@
+//! Operators' changes: a conditional write, and its spread.
+
+use std::time::Duration;
+
+use super::Host;
+use crate::configuration::ChangeSet;
+use crate::lease::majority;
+use crate::{
+    CallId, Change, Effect, KeyHash, Message, Operation, OperatorReply, OperatorRequest, Revision,
+    TableAnswer, TableRequest, TableRow, Timer,
+};
+
+/// How long an accepted change may take until a majority of voters has it.
+const CONFIRM_WAIT: Duration = Duration::from_secs(3);
+const CHANGE_ROW_PREFIX: &str = "change/";
+const CHANGE_SCAN_ROWS: u32 = 100;
+
+/// A question to the table, or an operator's call, that has no answer yet.
+#[derive(Debug)]
+pub(crate) enum PendingCall {
+    /// Reads new changes.
+    Poll {
+        /// When the question was sent.
+        sent_at: Duration,
+    },
+    /// Writes a change.
+    Write {
+        /// The operator's call; `None` for a withdrawal that only reaches the table late.
+        operator: Option<CallId>,
+        /// The change.
+        change: Change,
+    },
+    /// Reads the row of a change whose write had no answer.
+    Settle {
+        /// The operator's call.
+        operator: Option<CallId>,
+        /// The change.
+        change: Change,
+    },
+    /// Reads changes for an operator.
+    Audit {
+        /// The operator's call.
+        operator: CallId,
+    },
+    /// Waits until a majority of voters has a change or a withdrawal.
+    Confirm {
+        /// The revision.
+        revision: Revision,
+        /// The withdrawn key, where the table did not take the change.
+        withdrawn: Option<KeyHash>,
+    },
+}
+
+/// Reading the table.
+impl Host {
+    /// Asks the table for changes after the revision in force.
+    pub(super) fn poll_table(&mut self) {
+        let call = self.new_call();
+        self.calls.insert(call, PendingCall::Poll { sent_at: self.now });
+        self.scan_changes(call, self.configuration.revision, CHANGE_SCAN_ROWS);
+    }
+
+    fn scan_changes(&mut self, call: CallId, after: Revision, limit: u32) {
+        let prefix = CHANGE_ROW_PREFIX.to_owned();
+        let request = TableRequest::Scan { prefix, start: change_row(after + 1), limit };
+        self.out.push(Effect::Table { call, request });
+    }
+
+    pub(super) fn on_table(&mut self, call: CallId, answer: TableAnswer) {
+        if let Some(claim) = self.claims.calls.remove(&call) {
+            self.on_claim_table(claim, &answer);
+            return;
+        }
+        match self.calls.remove(&call) {
+            Some(PendingCall::Poll { sent_at }) => self.on_poll(sent_at, &answer),
+            Some(PendingCall::Write { operator, change }) => {
+                self.on_written(operator, change, answer);
+            }
+            Some(PendingCall::Settle { operator, change }) => {
+                self.on_settled_write(operator, change, &answer);
+            }
+            Some(PendingCall::Audit { operator }) => self.on_audit_rows(operator, &answer),
+            Some(PendingCall::Confirm { .. }) | None => {}
+        }
+    }
+
+    fn on_poll(&mut self, sent_at: Duration, answer: &TableAnswer) {
+        let TableAnswer::Rows(rows) = answer else { return };
+        let before = self.configuration.revision;
+        self.take_changes(&ChangeSet::Changes(parse_changes(rows)));
+        if rows.len() >= CHANGE_SCAN_ROWS as usize {
+            self.poll_table();
+        } else {
+            self.configuration.freshness.note_table(sent_at);
+        }
+        if self.configuration.revision > before {
+            self.spread_news(before);
+        }
+        self.write_withdrawals();
+    }
+
+    /// Writes withdrawals that were made while the table was out.
+    fn write_withdrawals(&mut self) {
+        let writing = self.calls.values().any(|call| matches!(call, PendingCall::Write { .. }));
+        let keys = self.configuration.unwritten_withdrawals();
+        if writing || keys.is_empty() {
+            return;
+        }
+        let remove = |id: KeyHash| Operation::Key { id, value: None };
+        let change_id = format!("withdrawal-{}-{}", self.identity.host, self.next_call);
+        let operations = keys.into_iter().map(remove).collect();
+        self.write_change(None, change_id, "withdrawal".to_owned(), 0, operations);
+    }
+}
+
+/// Changing.
+impl Host {
+    pub(super) fn on_operator(&mut self, call: CallId, request: OperatorRequest) {
+        match request {
+            OperatorRequest::Apply { change_id, author, made_at_unix_ms, based_on, operations } => {
+                let current = self.configuration.revision;
+                let based_on = based_on.unwrap_or(current);
+                if let Some(revision) = self.configuration.revision_of(&change_id) {
+                    self.reply(call, OperatorReply::Accepted { revision, confirmed: true });
+                } else if based_on != current {
+                    self.reply(call, OperatorReply::Conflict { based_on, current });
+                } else {
+                    self.write_change(Some(call), change_id, author, made_at_unix_ms, operations);
+                }
+            }
+            OperatorRequest::WithdrawKey { change_id, author, made_at_unix_ms, key } => {
+                self.withdraw_key(call, change_id, author, made_at_unix_ms, key);
+            }
+            OperatorRequest::Declaration => {
+                let revision = self.configuration.revision;
+                let declaration = Box::new(self.configuration.declaration.raw().clone());
+                self.reply(call, OperatorReply::Declaration { revision, declaration });
+            }
+            OperatorRequest::Status => {
+                let status = self.status();
+                self.reply(call, OperatorReply::Status { status });
+            }
+            OperatorRequest::Audit { after, limit } => {
+                let table_call = self.new_call();
+                self.calls.insert(table_call, PendingCall::Audit { operator: call });
+                self.scan_changes(table_call, after, limit);
+            }
+        }
+    }
+
+    fn write_change(
+        &mut self,
+        operator: Option<CallId>,
+        change_id: String,
+        author: String,
+        made_at_unix_ms: u64,
+        operations: Vec<Operation>,
+    ) {
+        let before = match self.configuration.declaration.try_all(&operations) {
+            Ok(before) => before,
+            Err(error) => {
+                let message = error.to_string();
+                self.reply_if(operator, OperatorReply::Refused { message });
+                return;
+            }
+        };
+        let revision = self.configuration.revision + 1;
+        let change = Change { revision, change_id, author, made_at_unix_ms, operations, before };
+        let value = serde_json::to_string(&change).ok();
+        let row = change_row(revision);
+        let call = self.new_call();
+        self.calls.insert(call, PendingCall::Write { operator, change });
+        let conditions = vec![(row.clone(), 0)];
+        let request = TableRequest::Commit { conditions, writes: vec![(row, value)] };
+        self.out.push(Effect::Table { call, request });
+    }
+
+    fn on_written(&mut self, operator: Option<CallId>, change: Change, answer: TableAnswer) {
+        match answer {
+            TableAnswer::Committed => self.accept(operator, change),
+            TableAnswer::Conflict => {
+                self.poll_table();
+                let based_on = change.revision - 1;
+                let current = self.configuration.revision.max(change.revision);
+                self.reply_if(operator, OperatorReply::Conflict { based_on, current });
+            }
+            TableAnswer::Unavailable => self.reply_if(operator, OperatorReply::Unavailable),
+            TableAnswer::Unknown | TableAnswer::Rows(_) => {
+                let call = self.new_call();
+                let after = change.revision - 1;
+                self.calls.insert(call, PendingCall::Settle { operator, change });
+                self.scan_changes(call, after, 1);
+            }
+        }
+    }
+
+    /// Settles a write without an answer by what the table has now.
+    fn on_settled_write(&mut self, operator: Option<CallId>, change: Change, answer: &TableAnswer) {
+        let found = match answer {
+            TableAnswer::Rows(rows) => parse_changes(rows).into_iter().next(),
+            _ => None,
+        };
+        match found {
+            Some(found) if found.change_id == change.change_id => self.accept(operator, change),
+            Some(_) => self.on_written(operator, change, TableAnswer::Conflict),
+            None => {
+                let change_id = change.change_id;
+                self.reply_if(operator, OperatorReply::Unknown { change_id });
+            }
+        }
+    }
+
+    fn accept(&mut self, operator: Option<CallId>, change: Change) {
+        let revision = change.revision;
+        let before = self.configuration.revision;
+        self.out.notice(format!("audit: revision {revision} by {:?}.", change.author));
+        self.take_changes(&ChangeSet::Changes(vec![change]));
+        self.spread_news(before);
+        self.push_to_voters(before);
+        if let Some(call) = operator {
+            self.await_confirmation(call, PendingCall::Confirm { revision, withdrawn: None });
+        }
+    }
+
+    fn withdraw_key(
+        &mut self,
+        call: CallId,
+        change_id: String,
+        author: String,
+        made_at_unix_ms: u64,
+        key: KeyHash,
+    ) {
+        if self.configuration.declaration.key(&key).is_none() {
+            let message = format!("keys.{key}: not declared at this revision");
+            self.reply(call, OperatorReply::Refused { message });
+            return;
+        }
+        let before = self.configuration.revision;
+        self.configuration.withdraw(&[key], before);
+        self.out.notice(format!("audit: key {key} withdrawn by {author:?}."));
+        self.spread_news(before);
+        self.push_to_voters(before);
+        let operations = vec![Operation::Key { id: key, value: None }];
+        self.write_change(None, change_id, author, made_at_unix_ms, operations);
+        let pending = PendingCall::Confirm { revision: 0, withdrawn: Some(key) };
+        self.await_confirmation(call, pending);
+    }
+
+    fn on_audit_rows(&mut self, operator: CallId, answer: &TableAnswer) {
+        let reply = match answer {
+            TableAnswer::Rows(rows) => OperatorReply::Audit { changes: parse_changes(rows) },
+            _ => OperatorReply::Unavailable,
+        };
+        self.reply(operator, reply);
+    }
+}
+
+/// Confirming.
+impl Host {
+    fn push_to_voters(&mut self, revision: Revision) {
+        let withdrawn = self.configuration.withdrawn();
+        let changes = self.configuration.changes_after(revision);
+        let voters = self.configuration_voters();
+        let me = self.identity.host;
+        for voter in voters.iter().filter(|voter| **voter != me) {
+            let (withdrawn, changes) = (withdrawn.clone(), changes.clone());
+            self.out.send(*voter, Message::News { withdrawn, changes });
+            self.send_sync(*voter);
+        }
+    }
+
+    fn await_confirmation(&mut self, call: CallId, pending: PendingCall) {
+        self.calls.insert(call, pending);
+        self.timers.arm(self.now + CONFIRM_WAIT, Timer::OperatorWait(call));
+        self.confirm_calls();
+    }
+
+    /// Answers the calls whose change a majority of voters has.
+    pub(super) fn confirm_calls(&mut self) {
+        if !self.calls.values().any(|call| matches!(call, PendingCall::Confirm { .. })) {
+            return;
+        }
+        let mut confirmed: Vec<CallId> = self.calls.keys().copied().collect();
+        confirmed.retain(|call| self.is_confirmed(*call));
+        for call in confirmed {
+            let reply = match self.calls.remove(&call) {
+                Some(PendingCall::Confirm { withdrawn: Some(_), .. }) => OperatorReply::Withdrawn,
+                Some(PendingCall::Confirm { revision, .. }) => {
+                    OperatorReply::Accepted { revision, confirmed: true }
+                }
+                _ => continue,
+            };
+            self.reply(call, reply);
+        }
+    }
+
+    fn is_confirmed(&mut self, call: CallId) -> bool {
+        let voters = self.configuration_voters();
+        let Some(PendingCall::Confirm { revision, withdrawn }) = self.calls.get(&call) else {
+            return false;
+        };
+        let has = |voter: &&crate::HostId| {
+            if **voter == self.identity.host {
+                return true;
+            }
+            self.peers.get(*voter).is_some_and(|peer| match withdrawn {
+                Some(key) => {
+                    let removed = self.configuration.declaration.key(key).is_none();
+                    let current = peer.revision >= self.configuration.revision;
+                    peer.withdrawn.contains(key) || (removed && current)
+                }
+                None => peer.revision >= *revision,
+            })
+        };
+        voters.iter().filter(has).count() >= majority(voters.len())
+    }
+
+    pub(super) fn on_operator_wait(&mut self, call: CallId) {
+        let reply = match self.calls.remove(&call) {
+            Some(PendingCall::Confirm { withdrawn: Some(key), .. }) => {
+                OperatorReply::Unknown { change_id: key.to_string() }
+            }
+            Some(PendingCall::Confirm { revision, .. }) => {
+                OperatorReply::Accepted { revision, confirmed: false }
+            }
+            _ => return,
+        };
+        self.reply(call, reply);
+    }
+
+    fn reply(&mut self, call: CallId, reply: OperatorReply) {
+        self.out.push(Effect::Reply { call, reply });
+    }
+
+    fn reply_if(&mut self, call: Option<CallId>, reply: OperatorReply) {
+        if let Some(call) = call {
+            self.reply(call, reply);
+        }
+    }
+}
+
+fn change_row(revision: Revision) -> String {
+    format!("{CHANGE_ROW_PREFIX}{revision:012}")
+}
+
+fn parse_changes(rows: &[TableRow]) -> Vec<Change> {
+    rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok()).collect()
+}
--- /dev/null
+++ b/crates/core/src/host/peers.rs
@@ -0,0 +1,313 @@
+//! What other hosts say.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::Host;
+use crate::claim::{ClaimKey, ClaimRecord, ClaimVerdict};
+use crate::configuration::ChangeSet;
+use crate::health::{InstanceEvidence, Verdict};
+use crate::lease::{majority, shard_of};
+use crate::message::{Draw, Grant};
+use crate::{
+    Batch, HostId, Incarnation, KeyHash, Message, Operation, Revision, ServiceId, ShardId,
+};
+
+/// Peers to which news goes at once.
+const NEWS_FANOUT: usize = 4;
+/// How long a host must have run before it counts in a majority.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+const CONFIGURATION_SHARD: &str = "configuration";
+
+/// What one host knows of another.
+#[derive(Debug, Default)]
+pub(crate) struct PeerView {
+    /// Invariant: never falls; batches of earlier incarnations are refused.
+    pub(crate) incarnation: Incarnation,
+    /// Invariant: rises within an incarnation; older batches are refused.
+    last_sequence: u64,
+    pub(crate) sent_sequence: u64,
+    pub(crate) heard_at: Option<Duration>,
+    pub(crate) revision: Revision,
+    /// Withdrawn keys that the peer knows beyond its revision.
+    pub(crate) withdrawn: Vec<KeyHash>,
+}
+
+/// Receiving.
+impl Host {
+    pub(super) fn on_batch(&mut self, batch: Batch) {
+        if batch.to != self.identity.host || batch.from == self.identity.host {
+            return;
+        }
+        let peer = self.peers.entry(batch.from).or_default();
+        if batch.incarnation < peer.incarnation {
+            return;
+        }
+        if batch.incarnation > peer.incarnation {
+            peer.incarnation = batch.incarnation;
+            peer.last_sequence = 0;
+            peer.revision = 0;
+        }
+        if batch.sequence <= peer.last_sequence {
+            return;
+        }
+        peer.last_sequence = batch.sequence;
+        peer.heard_at = Some(self.now);
+        peer.revision = batch.revision;
+        let from = (batch.from, batch.incarnation);
+        for message in batch.messages {
+            self.on_message(from, message);
+        }
+        self.confirm_calls();
+    }
+
+    fn on_message(&mut self, from: (HostId, Incarnation), message: Message) {
+        match message {
+            Message::Sync { sent_at_us, revision } => self.on_sync(from.0, sent_at_us, revision),
+            Message::SyncReply { sent_at_us, revision: _, age_ms, settled, withdrawn, changes } => {
+                self.on_sync_reply(from.0, sent_at_us, age_ms, settled, &withdrawn, changes);
+            }
+            Message::News { withdrawn, changes } => self.on_news(from.0, &withdrawn, changes.as_ref()),
+            Message::LeaseRequest { shard, lease, sent_at_us } => {
+                self.leases.on_request(self.now, from, shard, lease, sent_at_us, &mut self.out);
+            }
+            Message::LeaseVote { shard, lease, sent_at_us, granted } => {
+                self.on_lease_vote(from.0, shard, lease, sent_at_us, granted);
+            }
+            Message::LeaseRelease { shard, lease } => {
+                self.leases.on_release(self.now, from.0, shard, lease);
+            }
+            Message::NotHolder { shard, holder } => self.on_not_holder(from.0, shard, holder),
+            Message::Draw(draw) => self.on_draw(from, &draw),
+            Message::Grant(grant) => self.on_grant(&grant),
+            Message::Evidence { service, sent_at_us, instances, applied } => {
+                self.on_evidence(from.0, service, sent_at_us, &instances, &applied);
+            }
+            Message::Verdicts { service, sent_at_us, verdicts } => {
+                self.on_verdicts(&service, sent_at_us, verdicts);
+            }
+            Message::Claim { key, record } => self.on_claim(from, key, &record),
+            Message::ClaimVote { key, request, verdict } => {
+                self.on_claim_vote(from.0, &key, request, &verdict);
+            }
+            Message::ClaimRelease { key, request } => self.claims.table.release(&key, from, request),
+            Message::ClaimAnswer { key, request, answer } => {
+                self.claims.table.answer(&key, from.0, request, &answer);
+            }
+            Message::ClaimSync { shard } => self.on_claim_sync(from.0, shard),
+            Message::ClaimSyncReply { shard, complete, claims } => {
+                self.on_claim_sync_reply(from.0, shard, complete, &claims);
+            }
+        }
+    }
+}
+
+/// Configuration.
+impl Host {
+    fn on_sync(&mut self, from: HostId, sent_at_us: u64, revision: Revision) {
+        let age = self.configuration.freshness.age(self.now);
+        let reply = Message::SyncReply {
+            sent_at_us,
+            revision: self.configuration.revision,
+            age_ms: age.and_then(|age| u32::try_from(age.as_millis() + 1).ok()),
+            settled: self.now >= SETTLE_TIME,
+            withdrawn: self.configuration.withdrawn(),
+            changes: self.configuration.changes_after(revision),
+        };
+        self.out.send(from, reply);
+    }
+
+    fn on_sync_reply(
+        &mut self,
+        from: HostId,
+        sent_at_us: u64,
+        age_ms: Option<u32>,
+        settled: bool,
+        withdrawn: &[KeyHash],
+        changes: Option<ChangeSet>,
+    ) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.withdrawn = withdrawn.to_vec();
+        }
+        self.on_news(from, withdrawn, changes.as_ref());
+        let behind = self.peers.get(&from).is_some_and(|p| p.revision > self.configuration.revision);
+        if behind {
+            return;
+        }
+        let sent_at = Duration::from_micros(sent_at_us).min(self.now);
+        if let Some(age_ms) = age_ms {
+            let age = Duration::from_millis(u64::from(age_ms));
+            self.configuration.freshness.note_peer(sent_at, age);
+        }
+        let voters = self.configuration_voters();
+        if settled && voters.contains(&from) {
+            self.configuration.freshness.note_voter(from, sent_at, &voters);
+        }
+    }
+
+    fn on_news(&mut self, from: HostId, withdrawn: &[KeyHash], changes: Option<&ChangeSet>) {
+        let known_at = self.peers.get(&from).map_or(0, |peer| peer.revision);
+        let new_keys = self.configuration.withdraw(withdrawn, known_at);
+        let before = self.configuration.revision;
+        if let Some(changes) = changes {
+            self.take_changes(changes);
+        }
+        if new_keys || self.configuration.revision > before {
+            self.spread_news(before);
+        }
+    }
+
+    /// Takes changes over and brings everything that depends on them up to date.
+    pub(super) fn take_changes(&mut self, changes: &ChangeSet) {
+        let operations = self.configuration.take(changes);
+        if operations.iter().any(|operation| matches!(operation, Operation::Host { .. })) {
+            self.leases.voter_map.clear();
+        }
+        if !operations.is_empty() {
+            self.refresh_wanted_shards();
+            self.refresh_queues();
+        }
+    }
+
+    /// Sends what is newer than `revision` to a few peers at once.
+    pub(super) fn spread_news(&mut self, revision: Revision) {
+        let withdrawn = self.configuration.withdrawn();
+        let changes = self.configuration.changes_after(revision);
+        for peer in self.random_peers(NEWS_FANOUT) {
+            let (withdrawn, changes) = (withdrawn.clone(), changes.clone());
+            self.out.send(peer, Message::News { withdrawn, changes });
+        }
+    }
+
+    pub(super) fn configuration_voters(&mut self) -> std::rc::Rc<[HostId]> {
+        self.voters(shard_of(CONFIGURATION_SHARD))
+    }
+
+    /// Returns up to `count` different peers.
+    pub(super) fn random_peers(&mut self, count: usize) -> Vec<HostId> {
+        let mut peers = BTreeSet::new();
+        let me = self.identity.host;
+        let declared = self.configuration.declaration.hosts();
+        let known: BTreeSet<HostId> =
+            declared.keys().chain(self.listed.iter()).copied().filter(|id| *id != me).collect();
+        let known: Vec<HostId> = known.into_iter().collect();
+        for _ in 0..count * 2 {
+            if let Some(peer) = known.get(self.random.below(known.len()))
+                && peers.len() < count
+            {
+                peers.insert(*peer);
+            }
+        }
+        peers.into_iter().collect()
+    }
+
+    /// Works out on which shards in use this host votes.
+    fn refresh_wanted_shards(&mut self) {
+        let declaration = &self.configuration.declaration;
+        let names = declaration.raw().customers.keys().chain(declaration.services().keys());
+        let used: BTreeSet<ShardId> = names.map(|name| shard_of(name)).collect();
+        let me = self.identity.host;
+        let hosts = declaration.hosts();
+        let voters = &mut self.leases.voter_map;
+        let wanted = used.into_iter().filter(|shard| voters.voters(hosts, *shard).contains(&me));
+        let wanted = wanted.collect();
+        self.leases.set_wanted(wanted);
+        self.refresh_claim_shards();
+    }
+}
+
+/// Leases, limits and health.
+impl Host {
+    fn on_lease_vote(
+        &mut self,
+        from: HostId,
+        shard: ShardId,
+        lease: u64,
+        sent_at_us: u64,
+        granted: bool,
+    ) {
+        let sent_at = Duration::from_micros(sent_at_us).min(self.now);
+        if granted && self.leases.on_vote(self.now, from, shard, lease, sent_at) {
+            self.out.notice(format!("lease: gained shard {shard}."));
+        }
+    }
+
+    fn on_not_holder(&mut self, from: HostId, shard: ShardId, holder: Option<HostId>) {
+        self.limits.on_not_holder(self.now, from, shard, holder, &mut self.timers);
+        self.health.on_not_holder(from, shard, holder);
+    }
+
+    fn on_draw(&mut self, from: (HostId, Incarnation), draw: &Draw) {
+        let context = Self::limit_context(&self.identity, &self.configuration, self.now);
+        self.limits.on_draw(&context, &mut self.leases, from, draw, &mut self.out);
+    }
+
+    fn on_grant(&mut self, grant: &Grant) {
+        let context = Self::limit_context(&self.identity, &self.configuration, self.now);
+        let (leases, timers, out) = (&mut self.leases, &mut self.timers, &mut self.out);
+        let settled = self.limits.on_grant(&context, leases, grant, timers, out);
+        self.on_settled(settled);
+    }
+
+    fn on_evidence(
+        &mut self,
+        from: HostId,
+        service: ServiceId,
+        sent_at_us: u64,
+        instances: &[InstanceEvidence],
+        applied: &[Verdict],
+    ) {
+        let shard = shard_of(&service);
+        let Some(held_since) = self.leases.held_since(shard, self.now) else {
+            let me = self.identity.host;
+            let holder = self.leases.supported(shard, self.now).filter(|host| *host != me);
+            self.out.send(from, Message::NotHolder { shard, holder });
+            return;
+        };
+        let hosts = self.configuration.declaration.hosts();
+        let Some(sender) = hosts.get(&from).map(|host| host.data_centre.clone()) else { return };
+        let context = Self::health_context(&self.identity, &self.configuration, self.now);
+        let verdicts =
+            self.health.judge(&context, held_since, &service, &sender, instances, applied);
+        self.out.send(from, Message::Verdicts { service, sent_at_us, verdicts });
+    }
+
+    fn on_verdicts(&mut self, service: &ServiceId, sent_at_us: u64, verdicts: Vec<Verdict>) {
+        let context = Self::health_context(&self.identity, &self.configuration, self.now);
+        self.health.apply(&context, service, sent_at_us, verdicts, &mut self.out);
+    }
+}
+
+/// Claims, as voter.
+impl Host {
+    fn on_claim(&mut self, from: (HostId, Incarnation), key: ClaimKey, record: &ClaimRecord) {
+        if (record.owner, record.incarnation) != from {
+            return;
+        }
+        let verdict = self.claims.table.claim(&key, record, self.now);
+        let request = record.request;
+        self.out.send(from.0, Message::ClaimVote { key, request, verdict });
+    }
+
+    fn on_claim_vote(&mut self, from: HostId, key: &ClaimKey, request: u64, verdict: &ClaimVerdict) {
+        let decision = self.claims.on_vote(from, key, request, verdict);
+        self.on_claim_decision(request, decision);
+    }
+
+    fn on_claim_sync(&mut self, from: HostId, shard: ShardId) {
+        let (complete, claims) = self.claims.table.contents(shard);
+        self.out.send(from, Message::ClaimSyncReply { shard, complete, claims });
+    }
+
+    fn on_claim_sync_reply(
+        &mut self,
+        from: HostId,
+        shard: ShardId,
+        complete: bool,
+        claims: &[(ClaimKey, ClaimRecord)],
+    ) {
+        let majority = majority(self.voters(shard).len());
+        let table = &mut self.claims.table;
+        table.on_contents(shard, from, complete, claims, majority, self.now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/state.rs
@@ -0,0 +1,163 @@
+//! The state of one entry host.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Identity;
+use super::operators::PendingCall;
+use super::peers::PeerView;
+use crate::admission::FairQueue;
+use crate::attempt::ActiveRequest;
+use crate::claim::{ClaimBook, ClaimContext};
+use crate::configuration::ConfigurationBook;
+use crate::health::{HealthBook, HealthContext};
+use crate::lease::{LeaseBook, LeaseContext};
+use crate::limit::{LimitBook, LimitContext};
+use crate::random::Random;
+use crate::{
+    AttemptId, CallId, HostId, Outbox, RequestId, Revision, ServiceId, ShardId, Timers,
+};
+
+/// The state of one entry host: all that its decisions depend on.
+#[derive(Debug)]
+pub struct Host {
+    pub(super) identity: Identity,
+    pub(super) now: Duration,
+    pub(super) out: Outbox,
+    pub(super) timers: Timers,
+    pub(super) random: Random,
+    pub(super) configuration: ConfigurationBook,
+    pub(super) leases: LeaseBook,
+    pub(super) limits: LimitBook,
+    pub(super) health: HealthBook,
+    pub(super) claims: ClaimBook,
+    pub(super) queues: BTreeMap<ServiceId, FairQueue>,
+    pub(super) requests: BTreeMap<RequestId, ActiveRequest>,
+    pub(super) attempts: BTreeMap<AttemptId, RequestId>,
+    pub(super) next_attempt: AttemptId,
+    pub(super) peers: BTreeMap<HostId, PeerView>,
+    pub(super) listed: Vec<HostId>,
+    pub(super) calls: BTreeMap<CallId, PendingCall>,
+    pub(super) next_call: CallId,
+    pub(super) synced_at: Duration,
+    pub(super) sourced_at: Duration,
+    pub(super) claims_synced_at: Duration,
+    pub(super) stopping: bool,
+    pub(super) started: bool,
+    pub(super) next_wake: Option<Duration>,
+    pub(super) reported_revision: Revision,
+}
+
+/// Building and reading.
+impl Host {
+    /// Creates the state of a host that starts at time zero.
+    pub fn new(identity: Identity) -> Self {
+        let seed = identity.seed ^ identity.incarnation;
+        Self {
+            random: Random::new(seed),
+            identity,
+            now: Duration::ZERO,
+            out: Outbox::default(),
+            timers: Timers::default(),
+            configuration: ConfigurationBook::default(),
+            leases: LeaseBook::new(Duration::ZERO),
+            limits: LimitBook::default(),
+            health: HealthBook::default(),
+            claims: ClaimBook::default(),
+            queues: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            next_attempt: 1,
+            peers: BTreeMap::new(),
+            listed: Vec::new(),
+            calls: BTreeMap::new(),
+            next_call: 1 << 32,
+            synced_at: Duration::ZERO,
+            sourced_at: Duration::ZERO,
+            claims_synced_at: Duration::ZERO,
+            stopping: false,
+            started: false,
+            next_wake: None,
+            reported_revision: 0,
+        }
+    }
+
+    /// Returns who the host is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.configuration.revision
+    }
+
+    /// Returns whether the host should get new requests.
+    pub fn is_ready(&self) -> bool {
+        let declared = self.configuration.declaration.hosts().get(&self.identity.host);
+        let drained = declared.is_some_and(|host| host.drained);
+        !self.stopping && !drained && self.configuration.is_fresh(self.now)
+    }
+
+    /// Returns the number of requests under way.
+    pub fn requests_in_flight(&self) -> usize {
+        self.requests.len()
+    }
+}
+
+/// The parts that a decision works on, borrowed side by side.
+impl Host {
+    pub(super) fn lease_context<'a>(
+        identity: &Identity,
+        configuration: &'a ConfigurationBook,
+        now: Duration,
+    ) -> LeaseContext<'a> {
+        let hosts = configuration.declaration.hosts();
+        LeaseContext { now, me: identity.host, incarnation: identity.incarnation, hosts }
+    }
+
+    pub(super) fn limit_context<'a>(
+        identity: &Identity,
+        configuration: &'a ConfigurationBook,
+        now: Duration,
+    ) -> LimitContext<'a> {
+        LimitContext {
+            now,
+            me: identity.host,
+            incarnation: identity.incarnation,
+            declaration: &configuration.declaration,
+        }
+    }
+
+    pub(super) fn health_context<'a>(
+        identity: &'a Identity,
+        configuration: &'a ConfigurationBook,
+        now: Duration,
+    ) -> HealthContext<'a> {
+        HealthContext {
+            now,
+            me: identity.host,
+            data_centre: &identity.data_centre,
+            declaration: &configuration.declaration,
+        }
+    }
+
+    pub(super) fn claim_context(&mut self, shard: ShardId) -> ClaimContext {
+        ClaimContext {
+            now: self.now,
+            me: self.identity.host,
+            incarnation: self.identity.incarnation,
+            voters: self.voters(shard),
+        }
+    }
+
+    pub(super) fn voters(&mut self, shard: ShardId) -> Rc<[HostId]> {
+        self.leases.voter_map.voters(self.configuration.declaration.hosts(), shard)
+    }
+
+    pub(super) fn new_call(&mut self) -> CallId {
+        self.next_call += 1;
+        self.next_call
+    }
+}
--- /dev/null
+++ b/crates/core/src/host/status.rs
@@ -0,0 +1,55 @@
+//! What operators see of a host.
+
+use serde_json::{Value, json};
+
+use super::Host;
+
+impl Host {
+    /// Returns the state of the host as a JSON object.
+    pub(super) fn status(&self) -> Value {
+        let age = self.configuration.freshness.age(self.now);
+        let granted = self.health.granted();
+        let services: serde_json::Map<String, Value> = self
+            .health
+            .services
+            .iter()
+            .map(|(id, view)| {
+                let ejected: Vec<&String> = view
+                    .instances
+                    .iter()
+                    .filter(|(_, instance)| instance.is_ejected(self.now))
+                    .map(|(id, _)| id)
+                    .collect();
+                let avoided: Vec<&String> = view
+                    .instances
+                    .iter()
+                    .filter(|(_, instance)| instance.is_avoided(self.now))
+                    .map(|(id, _)| id)
+                    .collect();
+                let waiting = self.queues.get(id).map_or(0, |queue| queue.waiting());
+                let median_ms = view.median().as_secs_f64() * 1e3;
+                let value = json!({
+                    "ejected": ejected,
+                    "avoided": avoided,
+                    "waiting": waiting,
+                    "median_ms": median_ms,
+                    "granted": granted.get(id),
+                });
+                (id.clone(), value)
+            })
+            .collect();
+        json!({
+            "host": self.identity.host,
+            "incarnation": self.identity.incarnation,
+            "data_centre": self.identity.data_centre,
+            "revision": self.configuration.revision,
+            "ready": self.is_ready(),
+            "stopping": self.stopping,
+            "knowledge_age_ms": age.map(|age| age.as_millis() as u64),
+            "shards_held": self.leases.held().count(),
+            "requests_in_flight": self.requests.len(),
+            "claims_kept": self.claims.table.len(),
+            "services": services,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/book.rs
@@ -0,0 +1,362 @@
+//! The limits of one host, as holder of buckets and as spender of tokens.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::account::{Account, Waiter};
+use super::{Bucket, GRANT_DURATION, GRANT_MARGIN};
+use crate::lease::{LeaseBook, shard_of};
+use crate::message::{Draw, Grant};
+use crate::{
+    CustomerId, Declaration, HostId, Incarnation, Message, Outbox, RequestId, ShardId, Timer, Timers,
+};
+
+/// How long a draw may stay unanswered.
+const DRAW_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long unused tokens stay with a host.
+const IDLE_RETURN: Duration = Duration::from_millis(150);
+/// How long an unused account is kept.
+const ACCOUNT_MEMORY: Duration = Duration::from_secs(10);
+const WAITERS_MAX: usize = 64;
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a limit decision needs to know.
+pub(crate) struct LimitContext<'a> {
+    pub(crate) now: Duration,
+    pub(crate) me: HostId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) declaration: &'a Declaration,
+}
+
+/// Whether a request may go on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Admission {
+    /// A token was spent.
+    Admitted,
+    /// The request waits for a token.
+    Waiting,
+    /// Too many requests wait already.
+    Full,
+}
+
+/// The requests that a grant settled.
+#[derive(Debug, Default)]
+pub(crate) struct Settled {
+    pub(crate) admitted: Vec<RequestId>,
+}
+
+/// The limits of one host, as holder of buckets and as spender of tokens.
+///
+/// Invariant: a bucket exists only while this host holds the customer's shard.
+#[derive(Debug, Default)]
+pub struct LimitBook {
+    buckets: BTreeMap<ShardId, BTreeMap<CustomerId, Bucket>>,
+    accounts: BTreeMap<CustomerId, Account>,
+    swept_at: Duration,
+}
+
+/// Spending.
+impl LimitBook {
+    /// Asks for a token for a request that may wait until `until`.
+    pub(crate) fn acquire(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        customer: &CustomerId,
+        waiter: Waiter,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) -> Admission {
+        let account = self.account(customer);
+        account.note_demand(context.now);
+        if account.waiters.is_empty() && account.spend(context.now) {
+            return Admission::Admitted;
+        }
+        if account.waiters.len() >= WAITERS_MAX {
+            return Admission::Full;
+        }
+        account.waiters.push_back(waiter);
+        let settled = self.draw_if_due(context, leases, customer, timers, out);
+        if settled.admitted.contains(&waiter.request) {
+            return Admission::Admitted;
+        }
+        Admission::Waiting
+    }
+
+    /// Forgets a waiting request. Returns whether the holder has answered lately.
+    pub(crate) fn abandon(&mut self, customer: &CustomerId, request: RequestId) -> bool {
+        let Some(account) = self.accounts.get_mut(customer) else { return false };
+        account.waiters.retain(|waiter| waiter.request != request);
+        account.misses == 0
+    }
+
+    /// Gives back the token of a request that was not sent on.
+    pub(crate) fn refund(&mut self, customer: &CustomerId, now: Duration) {
+        if let Some(account) = self.accounts.get_mut(customer) {
+            account.refund(now);
+        }
+    }
+
+    pub(crate) fn on_grant(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        grant: &Grant,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) -> Settled {
+        let Some(account) = self.accounts.get_mut(&grant.customer) else {
+            return Settled::default();
+        };
+        account.accept(grant, context.now);
+        let mut settled = account.serve(context.now);
+        if !account.waiters.is_empty() {
+            let more = self.draw_if_due(context, leases, &grant.customer, timers, out);
+            settled.admitted.extend(more.admitted);
+        }
+        settled
+    }
+
+    /// Turns to the host that a voter named, for all customers of the shard.
+    pub(crate) fn on_not_holder(
+        &mut self,
+        now: Duration,
+        from: HostId,
+        shard: ShardId,
+        holder: Option<HostId>,
+        timers: &mut Timers,
+    ) {
+        let concerned = |(customer, account): &(&CustomerId, &mut Account)| {
+            shard_of(customer) == shard && account.holder == Some(from)
+        };
+        for (customer, account) in self.accounts.iter_mut().filter(concerned) {
+            account.holder = holder.filter(|host| *host != from);
+            account.drawing_since = None;
+            account.misses += 1;
+            account.retry_at = match account.holder {
+                Some(_) => now,
+                None => now + DRAW_TIMEOUT / 2,
+            };
+            timers.arm(account.retry_at, Timer::Draw(customer.clone()));
+        }
+    }
+
+    /// Draws again when a retry is due.
+    pub(crate) fn on_draw_timer(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        customer: &CustomerId,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) -> Settled {
+        let waiting = self.accounts.get(customer).is_some_and(|a| !a.waiters.is_empty());
+        if !waiting {
+            return Settled::default();
+        }
+        self.draw_if_due(context, leases, customer, timers, out)
+    }
+
+    /// Gives idle tokens back and forgets unused accounts.
+    pub(crate) fn sweep(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) {
+        if context.now < self.swept_at + SWEEP_INTERVAL {
+            return;
+        }
+        self.swept_at = context.now;
+        let now = context.now;
+        self.accounts.values_mut().for_each(|account| account.expire(now));
+        self.accounts.retain(|_, account| {
+            !account.waiters.is_empty() || now < account.used_at + ACCOUNT_MEMORY
+        });
+        let idle = |account: &Account| {
+            account.held() > 0 && account.waiters.is_empty() && now >= account.used_at + IDLE_RETURN
+        };
+        let idle: Vec<CustomerId> =
+            self.accounts.iter().filter(|(_, a)| idle(a)).map(|(id, _)| id.clone()).collect();
+        for customer in idle {
+            self.send_draw(context, leases, &customer, true, timers, out);
+        }
+    }
+}
+
+/// Holding.
+impl LimitBook {
+    /// Drops the buckets of shards that this host no longer holds.
+    pub(crate) fn drop_shards(&mut self, shards: &[ShardId]) {
+        for shard in shards {
+            self.buckets.remove(shard);
+        }
+    }
+
+    /// Drops all buckets and returns all tokens, at a planned stop.
+    pub(crate) fn close(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) {
+        self.buckets.clear();
+        let held: Vec<CustomerId> =
+            self.accounts.iter().filter(|(_, a)| a.held() > 0).map(|(id, _)| id.clone()).collect();
+        for customer in held {
+            self.send_draw(context, leases, &customer, true, timers, out);
+        }
+    }
+
+    pub(crate) fn on_draw(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        from: (HostId, Incarnation),
+        draw: &Draw,
+        out: &mut Outbox,
+    ) {
+        let shard = shard_of(&draw.customer);
+        let Some(held_since) = leases.held_since(shard, context.now) else {
+            let holder = leases.supported(shard, context.now).filter(|host| *host != context.me);
+            out.send(from.0, Message::NotHolder { shard, holder });
+            return;
+        };
+        if let Some(grant) = self.give(context, held_since, from, draw) {
+            out.send(from.0, Message::Grant(grant));
+        }
+    }
+
+    fn give(
+        &mut self,
+        context: &LimitContext<'_>,
+        held_since: Duration,
+        from: (HostId, Incarnation),
+        draw: &Draw,
+    ) -> Option<Grant> {
+        let customer = context.declaration.customer(&draw.customer)?;
+        let usable_from = held_since + GRANT_DURATION + GRANT_MARGIN;
+        let bucket = self
+            .buckets
+            .entry(shard_of(&draw.customer))
+            .or_default()
+            .entry(draw.customer.clone())
+            .or_insert_with(|| Bucket::new(customer, usable_from));
+        bucket.set_limits(customer, context.now);
+        let given = bucket.draw(from.0, from.1, draw, context.now)?;
+        Some(Grant {
+            customer: draw.customer.clone(),
+            sequence: draw.sequence,
+            sent_at_us: draw.sent_at_us,
+            tokens: given.tokens,
+            retry_after_ms: u32::try_from(given.retry_after.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+}
+
+/// Drawing.
+impl LimitBook {
+    fn account(&mut self, customer: &CustomerId) -> &mut Account {
+        if !self.accounts.contains_key(customer) {
+            self.accounts.insert(customer.clone(), Account::default());
+        }
+        self.accounts.entry(customer.clone()).or_default()
+    }
+
+    fn draw_if_due(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        customer: &CustomerId,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) -> Settled {
+        let now = context.now;
+        let Some(account) = self.accounts.get_mut(customer) else { return Settled::default() };
+        if let Some(since) = account.drawing_since {
+            if now < since + DRAW_TIMEOUT {
+                timers.arm(since + DRAW_TIMEOUT, Timer::Draw(customer.clone()));
+                return Settled::default();
+            }
+            account.misses += 1;
+            account.holder = None;
+        } else if now < account.retry_at {
+            timers.arm(account.retry_at, Timer::Draw(customer.clone()));
+            return Settled::default();
+        }
+        self.send_draw(context, leases, customer, false, timers, out)
+    }
+
+    /// Sends a draw to the holder, or serves it here when this host is the holder.
+    fn send_draw(
+        &mut self,
+        context: &LimitContext<'_>,
+        leases: &mut LeaseBook,
+        customer: &CustomerId,
+        give_back: bool,
+        timers: &mut Timers,
+        out: &mut Outbox,
+    ) -> Settled {
+        let now = context.now;
+        let shard = shard_of(customer);
+        let held_since = leases.held_since(shard, now);
+        let supported = leases.supported(shard, now).filter(|host| *host != context.me);
+        let voters = leases.voter_map.voters(context.declaration.hosts(), shard);
+        let Some(account) = self.accounts.get_mut(customer) else { return Settled::default() };
+        let draw = account.draw(customer, now, give_back);
+        if let Some(held_since) = held_since {
+            let me = (context.me, context.incarnation);
+            let grant = self.give(context, held_since, me, &draw);
+            return self.settle_own(customer, grant, now, timers);
+        }
+        let others: Vec<HostId> = voters.iter().filter(|v| **v != context.me).copied().collect();
+        let turn = account.misses as usize % others.len().max(1);
+        let target = account.holder.or(supported).or_else(|| others.get(turn).copied());
+        account.holder = target;
+        if let Some(target) = target {
+            out.send(target, Message::Draw(draw));
+        }
+        timers.arm(now + DRAW_TIMEOUT, Timer::Draw(customer.clone()));
+        Settled::default()
+    }
+
+    fn settle_own(
+        &mut self,
+        customer: &CustomerId,
+        grant: Option<Grant>,
+        now: Duration,
+        timers: &mut Timers,
+    ) -> Settled {
+        let Some(account) = self.accounts.get_mut(customer) else { return Settled::default() };
+        if let Some(grant) = grant {
+            account.accept(&grant, now);
+        }
+        account.drawing_since = None;
+        let settled = account.serve(now);
+        if !account.waiters.is_empty() {
+            timers.arm(account.retry_at, Timer::Draw(customer.clone()));
+        }
+        settled
+    }
+}
+
+impl Account {
+    /// Spends tokens on the requests that wait, first come first served.
+    fn serve(&mut self, now: Duration) -> Settled {
+        let mut settled = Settled::default();
+        while let Some(waiter) = self.waiters.front().copied() {
+            if waiter.until <= now {
+                self.waiters.pop_front();
+                continue;
+            }
+            if !self.spend(now) {
+                break;
+            }
+            self.waiters.pop_front();
+            settled.admitted.push(waiter.request);
+        }
+        settled
+    }
+}
--- /dev/null
+++ b/crates/core/src/timer.rs
@@ -0,0 +1,56 @@
+//! The timers of a host, kept inside its state.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::{AttemptId, CallId, CustomerId, RequestId};
+
+/// What is due.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Timer {
+    /// The periodic work.
+    Round,
+    /// The deadline of a request.
+    Deadline(RequestId),
+    /// The end of a request's wait for rate.
+    AdmissionWait(RequestId),
+    /// The time at which an attempt counts as slow.
+    Tail(AttemptId),
+    /// Another draw for a customer.
+    Draw(CustomerId),
+    /// The end of the wait for claim votes.
+    ClaimWait(RequestId),
+    /// The end of the wait for a change to spread.
+    OperatorWait(CallId),
+}
+
+/// Pending timers in the order of their times.
+#[derive(Debug, Default)]
+pub struct Timers {
+    due: BTreeSet<(Duration, Timer)>,
+}
+
+impl Timers {
+    /// Arms a timer. A timer that no longer matters is ignored when it fires.
+    pub fn arm(&mut self, at: Duration, timer: Timer) {
+        self.due.insert((at, timer));
+    }
+
+    /// Disarms a timer that was armed for this time.
+    pub fn disarm(&mut self, at: Duration, timer: Timer) {
+        self.due.remove(&(at, timer));
+    }
+
+    /// Takes the earliest timer that is due.
+    pub fn pop(&mut self, now: Duration) -> Option<Timer> {
+        if self.due.first()?.0 > now {
+            return None;
+        }
+        self.due.pop_first().map(|(_, timer)| timer)
+    }
+
+    /// Returns the time of the earliest timer.
+    pub fn next_at(&self) -> Option<Duration> {
+        self.due.first().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/ebonyctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
