--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -104,7 +104,11 @@
     }
 
     /// Takes the next request that may go out, and those that cannot meet their deadline.
-    pub fn next(&mut self, now: Duration, service_time: Duration) -> (Option<RequestId>, Vec<RequestId>) {
+    pub fn next(
+        &mut self,
+        now: Duration,
+        service_time: Duration,
+    ) -> (Option<RequestId>, Vec<RequestId>) {
         let mut late = Vec::new();
         while f64::from(self.in_flight) < self.limit {
             let heads = self.customers.iter().filter_map(|(id, q)| Some((id, q.waiting.front()?)));
--- a/crates/core/src/claim/book.rs
+++ b/crates/core/src/claim/book.rs
@@ -6,9 +6,7 @@
 
 use super::{ClaimKey, ClaimRecord, ClaimTable, ClaimVerdict, StoredAnswer};
 use crate::lease::majority;
-use crate::{
-    CallId, HostId, Incarnation, Message, Outbox, RefusalReason, RequestId, TableAnswer,
-};
+use crate::{CallId, HostId, Incarnation, Message, Outbox, RefusalReason, RequestId, TableAnswer};
 
 /// What a claim decision needs to know.
 pub(crate) struct ClaimContext {
@@ -128,11 +126,7 @@
     }
 
     /// Takes the table's answer to the claim's row.
-    pub(crate) fn on_table(
-        &mut self,
-        request: RequestId,
-        answer: &TableAnswer,
-    ) -> ClaimDecision {
+    pub(crate) fn on_table(&mut self, request: RequestId, answer: &TableAnswer) -> ClaimDecision {
         let Some(pending) = self.pending.get_mut(&request) else { return ClaimDecision::Pending };
         pending.table = match answer {
             TableAnswer::Committed => TableConsent::Given,
@@ -163,11 +157,7 @@
         self.pending.get(&request).map(|p| (p.key.row_name(), p.record.clone()))
     }
 
-    fn decide(
-        &mut self,
-        request: RequestId,
-        last: bool,
-    ) -> ClaimDecision {
+    fn decide(&mut self, request: RequestId, last: bool) -> ClaimDecision {
         let Some(pending) = self.pending.get_mut(&request).filter(|p| !p.decided) else {
             return ClaimDecision::Pending;
         };
--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -75,7 +75,13 @@
     }
 
     /// Keeps the answer of a claimed request.
-    pub(crate) fn answer(&mut self, key: &ClaimKey, owner: HostId, request: u64, answer: &StoredAnswer) {
+    pub(crate) fn answer(
+        &mut self,
+        key: &ClaimKey,
+        owner: HostId,
+        request: u64,
+        answer: &StoredAnswer,
+    ) {
         let Some(shard) = self.shards.get_mut(&key.shard()) else { return };
         let Some(record) = shard.claims.get_mut(key) else { return };
         if record.owner == owner && record.request == request {
--- a/crates/core/src/configuration/book.rs
+++ b/crates/core/src/configuration/book.rs
@@ -66,7 +66,9 @@
     /// Takes changes over; returns those that were new. A gap ends the run.
     pub(crate) fn take(&mut self, set: &ChangeSet) -> Vec<Operation> {
         match set {
-            ChangeSet::Changes(changes) => changes.iter().flat_map(|c| self.take_change(c)).collect(),
+            ChangeSet::Changes(changes) => {
+                changes.iter().flat_map(|c| self.take_change(c)).collect()
+            }
             ChangeSet::Snapshot { revision, declaration } if *revision > self.revision => {
                 let Ok(checked) = Declaration::try_from((**declaration).clone()) else {
                     return Vec::new();
--- a/crates/core/src/declaration/change.rs
+++ b/crates/core/src/declaration/change.rs
@@ -89,7 +89,9 @@
             Self::Key { id, .. } => format!("key/{id}"),
             Self::Profile { id, .. } => format!("profile/{id}"),
             Self::Service { id, .. } => format!("service/{id}"),
-            Self::InstanceState { service, instance, .. } => format!("instance/{service}/{instance}"),
+            Self::InstanceState { service, instance, .. } => {
+                format!("instance/{service}/{instance}")
+            }
             Self::Route { id, .. } => format!("route/{id}"),
         }
     }
--- a/crates/core/src/declaration/checked.rs
+++ b/crates/core/src/declaration/checked.rs
@@ -7,8 +7,8 @@
 use serde_json::Value;
 
 use super::{
-    Customer, DeclaredHost, Instance, InstanceState, KeyEntry, KeyHash, Operation, Profile, RawDeclaration, Route,
-    RouteTable, Service,
+    Customer, DeclaredHost, Instance, InstanceState, KeyEntry, KeyHash, Operation, Profile,
+    RawDeclaration, Route, RouteTable, Service,
 };
 use crate::{Error, ErrorKind, HostId, Result, ServiceId};
 
@@ -213,7 +213,9 @@
                 let used = self.raw.services.values().any(|service| service.profile == *id);
                 self.check_unused(&path, used && Profile::built_in(id).is_none())
             }
-            Operation::Service { id, value: Some(service) } => self.check_service(&path, id, service),
+            Operation::Service { id, value: Some(service) } => {
+                self.check_service(&path, id, service)
+            }
             Operation::Service { id, value: None } => {
                 self.check_unused(&path, self.raw.routes.values().any(|route| route.service == *id))
             }
--- a/crates/core/src/health/book.rs
+++ b/crates/core/src/health/book.rs
@@ -164,7 +164,8 @@
         let sent_at_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
         let held_since = leases.held_since(shard, now);
         if let Some(held_since) = held_since {
-            let reply = self.judge(context, held_since, service, context.data_centre, &instances, &applied);
+            let reply =
+                self.judge(context, held_since, service, context.data_centre, &instances, &applied);
             self.apply(context, service, sent_at_us, reply, out);
             return;
         }
--- a/crates/core/src/host/claims.rs
+++ b/crates/core/src/host/claims.rs
@@ -7,8 +7,8 @@
 use crate::claim::{ClaimDecision, ClaimKey, ClaimRecord};
 use crate::lease::majority;
 use crate::{
-    Effect, KeyHash, Message, Refusal, RefusalReason, RequestId, ShardId, TableAnswer, TableRequest,
-    Timer,
+    Effect, KeyHash, Message, Refusal, RefusalReason, RequestId, ShardId, TableAnswer,
+    TableRequest, Timer,
 };
 
 /// How long a claim waits for votes, and for the table when the voters agree.
--- a/crates/core/src/host/peers.rs
+++ b/crates/core/src/host/peers.rs
@@ -67,7 +67,9 @@
             Message::SyncReply { sent_at_us, revision: _, age_ms, settled, withdrawn, changes } => {
                 self.on_sync_reply(from.0, sent_at_us, age_ms, settled, &withdrawn, changes);
             }
-            Message::News { withdrawn, changes } => self.on_news(from.0, &withdrawn, changes.as_ref()),
+            Message::News { withdrawn, changes } => {
+                self.on_news(from.0, &withdrawn, changes.as_ref())
+            }
             Message::LeaseRequest { shard, lease, sent_at_us } => {
                 self.leases.on_request(self.now, from, shard, lease, sent_at_us, &mut self.out);
             }
@@ -90,7 +92,9 @@
             Message::ClaimVote { key, request, verdict } => {
                 self.on_claim_vote(from.0, &key, request, &verdict);
             }
-            Message::ClaimRelease { key, request } => self.claims.table.release(&key, from, request),
+            Message::ClaimRelease { key, request } => {
+                self.claims.table.release(&key, from, request)
+            }
             Message::ClaimAnswer { key, request, answer } => {
                 self.claims.table.answer(&key, from.0, request, &answer);
             }
@@ -130,7 +134,8 @@
             peer.withdrawn = withdrawn.to_vec();
         }
         self.on_news(from, withdrawn, changes.as_ref());
-        let behind = self.peers.get(&from).is_some_and(|p| p.revision > self.configuration.revision);
+        let behind =
+            self.peers.get(&from).is_some_and(|p| p.revision > self.configuration.revision);
         if behind {
             return;
         }
@@ -289,7 +294,13 @@
         self.out.send(from.0, Message::ClaimVote { key, request, verdict });
     }
 
-    fn on_claim_vote(&mut self, from: HostId, key: &ClaimKey, request: u64, verdict: &ClaimVerdict) {
+    fn on_claim_vote(
+        &mut self,
+        from: HostId,
+        key: &ClaimKey,
+        request: u64,
+        verdict: &ClaimVerdict,
+    ) {
         let decision = self.claims.on_vote(from, key, request, verdict);
         self.on_claim_decision(request, decision);
     }
--- a/crates/core/src/host/state.rs
+++ b/crates/core/src/host/state.rs
@@ -15,9 +15,7 @@
 use crate::lease::{LeaseBook, LeaseContext};
 use crate::limit::{LimitBook, LimitContext};
 use crate::random::Random;
-use crate::{
-    AttemptId, CallId, HostId, Outbox, RequestId, Revision, ServiceId, ShardId, Timers,
-};
+use crate::{AttemptId, CallId, HostId, Outbox, RequestId, Revision, ServiceId, ShardId, Timers};
 
 /// The state of one entry host: all that its decisions depend on.
 #[derive(Debug)]
--- a/crates/core/src/lease/book.rs
+++ b/crates/core/src/lease/book.rs
@@ -3,9 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{
-    Holding, LEASE_DURATION, RANK_DELAY, RENEW_INTERVAL, SEEK_TIMEOUT, VoterMap,
-};
+use super::{Holding, LEASE_DURATION, RANK_DELAY, RENEW_INTERVAL, SEEK_TIMEOUT, VoterMap};
 use crate::{DeclaredHost, HostId, Incarnation, Message, Outbox, ShardId};
 
 /// What a lease decision needs to know.
@@ -67,7 +65,10 @@
 
     /// Returns the host that this host supports for the shard.
     pub(crate) fn supported(&self, shard: ShardId, now: Duration) -> Option<HostId> {
-        self.promises.get(&shard).filter(|promise| promise.until > now).map(|promise| promise.holder)
+        self.promises
+            .get(&shard)
+            .filter(|promise| promise.until > now)
+            .map(|promise| promise.holder)
     }
 }
 
@@ -80,7 +81,8 @@
 
     /// Drops the holdings that lost their majority, and returns their shards.
     pub(crate) fn lapse(&mut self, now: Duration) -> Vec<ShardId> {
-        let lapsed = |holding: &Holding| holding.held_since.is_some() && holding.valid_until() <= now;
+        let lapsed =
+            |holding: &Holding| holding.held_since.is_some() && holding.valid_until() <= now;
         let shards: Vec<ShardId> =
             self.holdings.iter().filter(|(_, h)| lapsed(h)).map(|(shard, _)| *shard).collect();
         for shard in &shards {
@@ -105,8 +107,12 @@
         if context.now < self.abstain_until {
             return;
         }
-        let open: Vec<ShardId> =
-            self.wanted.iter().filter(|shard| !self.holdings.contains_key(shard)).copied().collect();
+        let open: Vec<ShardId> = self
+            .wanted
+            .iter()
+            .filter(|shard| !self.holdings.contains_key(shard))
+            .copied()
+            .collect();
         for shard in open {
             self.stand(context, shard, out);
         }
--- a/crates/core/src/limit/book.rs
+++ b/crates/core/src/limit/book.rs
@@ -8,7 +8,8 @@
 use crate::lease::{LeaseBook, shard_of};
 use crate::message::{Draw, Grant};
 use crate::{
-    CustomerId, Declaration, HostId, Incarnation, Message, Outbox, RequestId, ShardId, Timer, Timers,
+    CustomerId, Declaration, HostId, Incarnation, Message, Outbox, RequestId, ShardId, Timer,
+    Timers,
 };
 
 /// How long a draw may stay unanswered.
--- a/crates/ebonytack/src/peer/links.rs
+++ b/crates/ebonytack/src/peer/links.rs
@@ -64,7 +64,8 @@
     pub(crate) fn send(&self, batch: Batch) {
         let Some(address) = self.addresses.borrow().get(&batch.to).copied() else { return };
         let mut links = self.links.borrow_mut();
-        let open = links.get(&batch.to).filter(|(at, sender)| *at == address && !sender.is_closed());
+        let open =
+            links.get(&batch.to).filter(|(at, sender)| *at == address && !sender.is_closed());
         if open.is_none() {
             let (sender, receiver) = mpsc::channel(QUEUE_MAX);
             actix_rt::spawn(run_link(self.secret.clone(), address, receiver));
@@ -144,4 +145,3 @@
     let sending = request.send().promise;
     async move { matches!(actix_rt::time::timeout(CONFIRM_TIMEOUT, sending).await, Ok(Ok(_))) }
 }
-
--- a/crates/ebonytack/src/peer/server.rs
+++ b/crates/ebonytack/src/peer/server.rs
@@ -50,10 +50,8 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let bytes = params.get_batch()?;
-        let checked = self
-            .secret
-            .verify(bytes, params.get_signature()?)
-            .and_then(|()| decode_batch(bytes));
+        let checked =
+            self.secret.verify(bytes, params.get_signature()?).and_then(|()| decode_batch(bytes));
         match checked {
             Ok(batch) => {
                 self.shell.feed(Event::Peer(batch));
--- a/crates/ebonytack/src/proxy/head.rs
+++ b/crates/ebonytack/src/proxy/head.rs
@@ -61,8 +61,7 @@
     if key.as_ref().is_some_and(|key| path.contains(key.as_str()) || query.contains(key.as_str())) {
         return Err(HeadError::Key);
     }
-    let path_and_query =
-        if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") };
+    let path_and_query = if query.is_empty() { path.to_owned() } else { format!("{path}?{query}") };
     let head = RequestHead {
         method: http.method.as_str().to_owned(),
         host: find_host(http)?,
--- a/crates/ebonytack/src/runtime/listen.rs
+++ b/crates/ebonytack/src/runtime/listen.rs
@@ -12,16 +12,13 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections for ever and hands each to `handle`, at most `max` at a time.
-pub(crate) async fn accept_loop<F, Fut>(
-    address: SocketAddr,
-    max: usize,
-    handle: F,
-) -> Result<()>
+pub(crate) async fn accept_loop<F, Fut>(address: SocketAddr, max: usize, handle: F) -> Result<()>
 where
     F: Fn(TcpStream, SocketAddr) -> Fut + 'static,
     Fut: Future<Output = ()> + 'static,
 {
-    let listener = TcpListener::bind(address).await.wrap_err(format!("cannot listen on {address}"))?;
+    let listener =
+        TcpListener::bind(address).await.wrap_err(format!("cannot listen on {address}"))?;
     actix_rt::spawn(async move {
         let open = Rc::new(Cell::new(0usize));
         loop {
--- a/crates/ebonytack/src/runtime/platform_link.rs
+++ b/crates/ebonytack/src/runtime/platform_link.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonytack_core::{CallId, Change, Event, RawDeclaration, TableAnswer, TableRequest, difference};
+use ebonytack_core::{
+    CallId, Change, Event, RawDeclaration, TableAnswer, TableRequest, difference,
+};
 use ebonytack_platform::{HostEntry, HttpPlatform, MemoryPlatform, Platform};
 
 use super::Shell;
--- a/crates/ebonytack/src/upstream/attempt.rs
+++ b/crates/ebonytack/src/upstream/attempt.rs
@@ -43,11 +43,7 @@
 }
 
 /// Returns what the reducer is told of an answer.
-pub(super) fn answered(
-    answer: &UpstreamAnswer,
-    keyed: bool,
-    latency: Duration,
-) -> AttemptOutcome {
+pub(super) fn answered(answer: &UpstreamAnswer, keyed: bool, latency: Duration) -> AttemptOutcome {
     let shed = match answer.status {
         StatusCode::TOO_MANY_REQUESTS => true,
         StatusCode::SERVICE_UNAVAILABLE => answer.headers.contains_key(RETRY_AFTER),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -41,7 +41,11 @@
         Self { client, base: format!("http://{address}") }
     }
 
-    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T, NoAnswer> {
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, NoAnswer> {
         let request = self.client.post(format!("{}{path}", self.base));
         let mut response = request.send_json(body).await.map_err(|error| match error {
             SendRequestError::Connect(_) | SendRequestError::Url(_) => NoAnswer::NotTaken,
@@ -49,8 +53,9 @@
         })?;
         match response.status() {
             StatusCode::OK => {
-                let json = response.json().limit(ANSWER_MAX_BYTES);
-                json.await.map_err(|_| NoAnswer::Unknown)
+                let body = response.body().limit(ANSWER_MAX_BYTES);
+                let body = body.await.map_err(|_| NoAnswer::Unknown)?;
+                serde_json::from_slice(&body).map_err(|_| NoAnswer::Unknown)
             }
             StatusCode::SERVICE_UNAVAILABLE => Err(NoAnswer::NotTaken),
             _ => Err(NoAnswer::Unknown),
@@ -73,7 +78,8 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        response.json().limit(ANSWER_MAX_BYTES).await.ok()
+        let body = response.body().limit(ANSWER_MAX_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
     }
 
     async fn register(&self, entry: HostEntry) -> bool {
--- /dev/null
+++ b/crates/testbed/src/fleet/plan.rs
@@ -0,0 +1,155 @@
+//! What a fleet consists of.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use ebonytack_core::{
+    Customer, DeclaredHost, HostId, Instance, KeyEntry, KeyHash, Profile, RawDeclaration, Route,
+    Service,
+};
+
+use crate::LatencyModel;
+
+/// A service of a fleet.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// The name, which also begins its paths.
+    pub name: String,
+    /// The number of instances.
+    pub instances: usize,
+    /// The profile.
+    pub profile: String,
+    /// How long an instance works on a request.
+    pub latency: LatencyModel,
+    /// The size of an answer.
+    pub answer_bytes: usize,
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The number of hosts, spread over three data centres.
+    pub hosts: u32,
+    /// The services.
+    pub services: Vec<ServicePlan>,
+    /// The customers, whose key is `key-NAME`.
+    pub customers: BTreeMap<String, Customer>,
+    /// Profiles besides the built-in ones.
+    pub profiles: BTreeMap<String, Profile>,
+    /// Whether hosts reach each other through fault proxies.
+    pub proxied: bool,
+    /// Whether hosts record traces, and where.
+    pub trace_directory: Option<PathBuf>,
+    /// The seed of stand-ins and hosts.
+    pub seed: u64,
+}
+
+/// Building.
+impl FleetPlan {
+    /// Plans a fleet of `hosts` hosts without services or customers.
+    pub fn new(hosts: u32) -> Self {
+        Self {
+            hosts,
+            services: Vec::new(),
+            customers: BTreeMap::new(),
+            profiles: BTreeMap::new(),
+            proxied: false,
+            trace_directory: None,
+            seed: 1,
+        }
+    }
+
+    /// Adds a service whose instances take `median` for a request.
+    pub fn service(
+        mut self,
+        name: &str,
+        instances: usize,
+        profile: &str,
+        median: Duration,
+    ) -> Self {
+        self.services.push(ServicePlan {
+            name: name.to_owned(),
+            instances,
+            profile: profile.to_owned(),
+            latency: LatencyModel::constant(median),
+            answer_bytes: 64,
+        });
+        self
+    }
+
+    /// Adds a customer.
+    pub fn customer(mut self, name: &str, rate_per_second: u32, burst: u32) -> Self {
+        self.customers.insert(name.to_owned(), Customer { rate_per_second, burst });
+        self
+    }
+
+    /// Puts fault proxies between the hosts.
+    pub fn proxied(mut self) -> Self {
+        self.proxied = true;
+        self
+    }
+
+    /// Sets the seed.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Returns the numbers of the hosts.
+    pub fn host_ids(&self) -> Vec<HostId> {
+        (1..=self.hosts).collect()
+    }
+
+    /// Returns the data centre of a host.
+    pub fn data_centre(host: HostId) -> String {
+        let names = ["a", "b", "c"];
+        names[(host as usize - 1) % names.len()].to_owned()
+    }
+
+    /// Returns the declaration, given where the instances listen.
+    pub fn declaration(&self, addresses: &[BTreeMap<String, SocketAddr>]) -> RawDeclaration {
+        let mut raw = RawDeclaration::default();
+        for host in self.host_ids() {
+            let data_centre = Self::data_centre(host);
+            raw.hosts.insert(host, DeclaredHost { data_centre, drained: false });
+        }
+        raw.customers = self.customers.clone();
+        raw.profiles = self.profiles.clone();
+        for name in self.customers.keys() {
+            let entry = KeyEntry { customer: name.clone(), label: "first".to_owned() };
+            raw.keys.insert(KeyHash::of(format!("key-{name}").as_bytes()), entry);
+        }
+        for (plan, addresses) in self.services.iter().zip(addresses) {
+            raw.services.insert(plan.name.clone(), declared_service(plan, addresses));
+            raw.routes.insert(plan.name.clone(), declared_route(plan));
+        }
+        raw
+    }
+}
+
+fn declared_service(plan: &ServicePlan, addresses: &BTreeMap<String, SocketAddr>) -> Service {
+    let instance = |(number, (name, address)): (usize, (&String, &SocketAddr))| {
+        let data_centre = FleetPlan::data_centre(number as u32 % 3 + 1);
+        (name.clone(), Instance { address: *address, data_centre, state: Default::default() })
+    };
+    Service {
+        profile: plan.profile.clone(),
+        floor_percent: 50,
+        slots: 4,
+        probe_path: "/health".to_owned(),
+        instances: addresses.iter().enumerate().map(instance).collect(),
+    }
+}
+
+fn declared_route(plan: &ServicePlan) -> Route {
+    Route {
+        host: None,
+        path_prefix: format!("/{}", plan.name),
+        methods: Vec::new(),
+        service: plan.name.clone(),
+        open: false,
+        idempotent: None,
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/fleet/process.rs
@@ -0,0 +1,167 @@
+//! One host as a real process.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
+
+use ebonytack_core::HostId;
+use eyre::{Result, WrapErr};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// The argument that makes a program of the testbed act as a host.
+const HOST_ROLE: &str = "act-as-host";
+
+/// Acts as a host when the arguments say so. Programs of the testbed call this first, because a
+/// fleet starts its hosts from the running program.
+pub fn run_role() -> Option<ExitCode> {
+    let mut arguments = std::env::args_os();
+    let program = arguments.next()?;
+    if arguments.next()? != HOST_ROLE {
+        return None;
+    }
+    Some(ebonytack::run_command_line(std::iter::once(program).chain(arguments)))
+}
+
+/// One host as a real process.
+#[derive(Debug)]
+pub struct HostProcess {
+    /// The host's number.
+    pub host: HostId,
+    /// Where callers reach the host.
+    pub callers: SocketAddr,
+    /// Where peers reach the host.
+    pub peers: SocketAddr,
+    /// Where operators reach the host.
+    pub admin: SocketAddr,
+    settings: PathBuf,
+    program: PathBuf,
+    child: Option<Child>,
+}
+
+impl HostProcess {
+    /// Reserves addresses for a host.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub fn plan(host: HostId, program: &Path, directory: &Path) -> Result<Self> {
+        Ok(Self {
+            host,
+            callers: free_address()?,
+            peers: free_address()?,
+            admin: free_address()?,
+            settings: directory.join(format!("host-{host}.json")),
+            program: program.to_owned(),
+            child: None,
+        })
+    }
+
+    /// Writes the host's settings.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be written.
+    pub fn configure(&self, settings: &serde_json::Value) -> Result<()> {
+        std::fs::write(&self.settings, settings.to_string()).wrap_err("cannot write settings")
+    }
+
+    /// Starts the process.
+    ///
+    /// # Errors
+    ///
+    /// When the program cannot be started.
+    pub fn start(&mut self) -> Result<()> {
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))?;
+        let child = Command::new(&self.program)
+            .args([HOST_ROLE, "run", "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err("cannot start a host")?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The process may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Pauses the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Resumes the process.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Waits for the process to end.
+    ///
+    /// # Errors
+    ///
+    /// When the process is not running.
+    pub fn wait(&mut self) -> Result<ExitStatus> {
+        let mut child = self.child.take().ok_or_else(|| eyre::eyre!("not running"))?;
+        Ok(child.wait()?)
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Returns the processor time that the process has used, in seconds.
+    pub fn cpu_seconds(&self) -> Option<f64> {
+        let pid = self.child.as_ref()?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+        let ticks: f64 =
+            fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        Some(ticks / 100.0)
+    }
+
+    /// Returns the resident memory of the process in bytes.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
+        let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+        Some(pages * 4096)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child
+            && let Ok(pid) = i32::try_from(child.id())
+        {
+            // The process may have ended by itself.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn free_address() -> Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(listener.local_addr()?)
+}
--- /dev/null
+++ b/crates/testbed/src/fleet/run.rs
@@ -0,0 +1,249 @@
+//! A running fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use ebonytack_core::{
+    Change, HostId, KeyHash, RawDeclaration, TableAnswer, TableRequest, difference,
+};
+use eyre::{Result, ensure, eyre};
+use serde_json::json;
+
+use super::{FleetPlan, HostProcess};
+use crate::operator::TOKEN;
+use crate::{FaultProxy, LinkFault, Operator, PlatformStandIn, UpstreamStandIn};
+
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const FLEET_SECRET: &str = "fleet-secret-of-the-testbed";
+
+/// A running fleet with its platform and upstreams.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The hosts, by number from 1.
+    pub hosts: Vec<HostProcess>,
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// The upstreams, by service.
+    pub upstreams: BTreeMap<String, UpstreamStandIn>,
+    /// The declaration that the fleet began with.
+    pub declaration: RawDeclaration,
+    proxies: BTreeMap<(HostId, HostId), FaultProxy>,
+    directory: PathBuf,
+}
+
+/// Starting.
+impl Fleet {
+    /// Starts a fleet and waits until each host is ready.
+    ///
+    /// # Errors
+    ///
+    /// When a part cannot be started or does not become ready in time.
+    pub async fn start(program: &Path, plan: &FleetPlan) -> Result<Self> {
+        let fleet = Self::start_hosts(program, plan)?;
+        for host in &fleet.hosts {
+            fleet.wait_ready(host.host).await?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_hosts(program: &Path, plan: &FleetPlan) -> Result<Self> {
+        let directory = fresh_directory()?;
+        let platform = PlatformStandIn::start(&plan.host_ids())?;
+        let mut upstreams = BTreeMap::new();
+        let mut addresses = Vec::new();
+        for service in &plan.services {
+            let stand_in = UpstreamStandIn::start(
+                &service.name,
+                service.instances,
+                service.latency,
+                service.answer_bytes,
+                plan.seed,
+            )?;
+            addresses.push(stand_in.addresses().clone());
+            upstreams.insert(service.name.clone(), stand_in);
+        }
+        let declaration = plan.declaration(&addresses);
+        write_declaration(&platform, &declaration)?;
+        let mut hosts = Vec::new();
+        for host in plan.host_ids() {
+            hosts.push(HostProcess::plan(host, program, &directory)?);
+        }
+        let proxies = if plan.proxied { proxies(&hosts, &platform)? } else { BTreeMap::new() };
+        for host in &mut hosts {
+            host.configure(&settings(host, plan, &platform))?;
+            host.start()?;
+        }
+        Ok(Self { hosts, platform, upstreams, declaration, proxies, directory })
+    }
+
+    /// Waits until a host is ready.
+    ///
+    /// # Errors
+    ///
+    /// When it does not become ready in time.
+    pub async fn wait_ready(&self, host: HostId) -> Result<()> {
+        let operator = self.operator(host);
+        self.wait_for(&format!("host {host} to be ready"), async || operator.is_ready().await).await
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// When it does not hold in time.
+    pub async fn wait_for(&self, what: &str, condition: impl AsyncFn() -> bool) -> Result<()> {
+        let started = Instant::now();
+        while !condition().await {
+            ensure!(started.elapsed() < START_TIMEOUT, "waited in vain for {what}");
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until one host after another answers for this customer.
+    ///
+    /// # Errors
+    ///
+    /// When that does not happen in time.
+    pub async fn wait_served(&self, path: &str, key: &str) -> Result<()> {
+        let caller = crate::Caller::new();
+        for host in &self.hosts {
+            self.wait_for("an answer", async || {
+                caller.get(host.callers, path, key).await.is_good()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
+
+/// Reading.
+impl Fleet {
+    /// Returns the host with this number.
+    pub fn host(&self, host: HostId) -> &HostProcess {
+        &self.hosts[host as usize - 1]
+    }
+
+    /// Returns the host with this number, to stop or start it.
+    pub fn host_mut(&mut self, host: HostId) -> &mut HostProcess {
+        &mut self.hosts[host as usize - 1]
+    }
+
+    /// Returns where callers reach the host with this number.
+    pub fn callers(&self, host: HostId) -> SocketAddr {
+        self.host(host).callers
+    }
+
+    /// Returns an operator of the host with this number.
+    pub fn operator(&self, host: HostId) -> Operator {
+        Operator::new(self.host(host).admin)
+    }
+
+    /// Returns the upstreams of a service.
+    pub fn upstream(&self, service: &str) -> &UpstreamStandIn {
+        &self.upstreams[service]
+    }
+
+    /// Returns where settings, logs and traces are.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+}
+
+/// Faults.
+impl Fleet {
+    /// Sets what happens to the connections that `from` opens to `to`.
+    pub fn set_link(&self, from: HostId, to: HostId, fault: LinkFault) {
+        self.proxies[&(from, to)].set(fault);
+    }
+
+    /// Cuts a host off from its peers in both directions, or joins it again.
+    pub fn isolate(&self, host: HostId, cut: bool) {
+        let fault = LinkFault { hold_forward: cut, hold_back: cut, ..LinkFault::default() };
+        for ((from, to), proxy) in &self.proxies {
+            if *from == host || *to == host {
+                proxy.set(fault);
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.hosts.iter_mut().for_each(HostProcess::kill);
+        if !std::thread::panicking() && std::env::var_os("EBONYTACK_KEEP").is_none() {
+            // A directory that stays behind harms nothing.
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn fresh_directory() -> Result<PathBuf> {
+    static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let name = format!("ebonytack-{}-{count}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
+
+fn write_declaration(platform: &PlatformStandIn, declaration: &RawDeclaration) -> Result<()> {
+    let operations = difference(&RawDeclaration::default(), declaration);
+    let before = vec![serde_json::Value::Null; operations.len()];
+    let change = Change {
+        revision: 1,
+        change_id: "first".to_owned(),
+        author: "testbed".to_owned(),
+        made_at_unix_ms: 0,
+        operations,
+        before,
+    };
+    let row = "change/000000000001".to_owned();
+    let value = Some(serde_json::to_string(&change)?);
+    let request = TableRequest::Commit { conditions: Vec::new(), writes: vec![(row, value)] };
+    match platform.table(request) {
+        TableAnswer::Committed => Ok(()),
+        other => Err(eyre!("unexpected answer {other:?}")),
+    }
+}
+
+/// Puts a proxy between each ordered pair of hosts.
+fn proxies(
+    hosts: &[HostProcess],
+    platform: &PlatformStandIn,
+) -> Result<BTreeMap<(HostId, HostId), FaultProxy>> {
+    let mut proxies = BTreeMap::new();
+    for from in hosts {
+        for to in hosts.iter().filter(|to| to.host != from.host) {
+            let proxy = FaultProxy::start(to.peers)?;
+            platform.route(from.host, to.host, proxy.address());
+            proxies.insert((from.host, to.host), proxy);
+        }
+    }
+    Ok(proxies)
+}
+
+fn settings(host: &HostProcess, plan: &FleetPlan, platform: &PlatformStandIn) -> serde_json::Value {
+    let trace_file = plan
+        .trace_directory
+        .as_ref()
+        .map(|directory| directory.join(format!("host-{}.trace", host.host)));
+    json!({
+        "host": host.host,
+        "data_centre": FleetPlan::data_centre(host.host),
+        "listen": {
+            "callers": host.callers,
+            "peers": host.peers,
+            "admin": host.admin,
+        },
+        "platform": {"kind": "http", "address": platform.address(host.host)},
+        "fleet_secret": FLEET_SECRET,
+        "operator_token_sha256": KeyHash::of(TOKEN.as_bytes()),
+        "seed": plan.seed ^ u64::from(host.host),
+        "trace_file": trace_file,
+        "limits": {"drain_grace_ms": 300},
+    })
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! Stand-ins for upstreams and the platform, a fault proxy, and a fleet of real processes for
+//! tests and measurements.
+
+mod caller;
+mod fault_proxy;
+mod fleet;
+mod operator;
+mod platform;
+mod random;
+mod runtime;
+mod upstream;
+
+pub use caller::{Caller, Reply};
+pub use fault_proxy::{FaultProxy, LinkFault};
+pub use fleet::{Fleet, FleetPlan, HostProcess, ServicePlan, run_role};
+pub use operator::Operator;
+pub use platform::{PlatformFault, PlatformStandIn};
+pub use random::TestRandom;
+pub use runtime::spawn_system;
+pub use upstream::{InstanceFault, LatencyModel, LedgerEntry, UpstreamStandIn};
--- /dev/null
+++ b/crates/testbed/src/operator.rs
@@ -0,0 +1,58 @@
+//! An operator who talks to one host.
+
+use std::net::SocketAddr;
+
+use ebonytack_core::{OperatorReply, OperatorRequest};
+use eyre::{Result, eyre};
+
+/// The token that test fleets take.
+pub(crate) const TOKEN: &str = "operator-token-of-the-testbed";
+
+/// An operator who talks to one host.
+#[derive(Clone, Copy, Debug)]
+pub struct Operator {
+    admin: SocketAddr,
+}
+
+impl Operator {
+    /// Creates an operator of the host with this admin address.
+    pub fn new(admin: SocketAddr) -> Self {
+        Self { admin }
+    }
+
+    /// Asks the host.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes or it is not understood.
+    pub async fn ask(&self, request: &OperatorRequest) -> Result<OperatorReply> {
+        let uri = format!("http://{}/v1/operator", self.admin);
+        let client = awc::Client::builder().timeout(std::time::Duration::from_secs(10)).finish();
+        let sent = client.post(uri).bearer_auth(TOKEN).send_json(request).await;
+        let mut response = sent.map_err(|error| eyre!("no answer: {error}"))?;
+        let body = response.body().limit(64 * 1024 * 1024).await;
+        let body = body.map_err(|error| eyre!("answer cut short: {error}"))?;
+        serde_json::from_slice(&body).map_err(|error| {
+            eyre!("{}: {error}: {}", response.status(), String::from_utf8_lossy(&body))
+        })
+    }
+
+    /// Returns whether the host is ready.
+    pub async fn is_ready(&self) -> bool {
+        let client = awc::Client::default();
+        let sent = client.get(format!("http://{}/ready", self.admin)).send().await;
+        sent.is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Returns the host's status.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes or it is not understood.
+    pub async fn status(&self) -> Result<serde_json::Value> {
+        match self.ask(&OperatorRequest::Status).await? {
+            OperatorReply::Status { status } => Ok(status),
+            other => Err(eyre!("unexpected answer {other:?}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/platform.rs
@@ -0,0 +1,198 @@
+//! A stand-in for the platform's table service and host list.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Method, Request, Response, StatusCode};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::BytesMut;
+use ebonytack_core::{HostId, TableAnswer, TableRequest};
+use ebonytack_platform::{HostEntry, MemoryTable};
+use futures_util::StreamExt;
+use tokio::net::TcpListener;
+
+use crate::runtime::spawn_system;
+
+/// What is wrong with the platform, for one asker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlatformFault {
+    /// Nothing is taken.
+    pub out: bool,
+    /// Each answer takes this long.
+    pub delay: Duration,
+    /// Every so many writes take effect without an answer; never when 0.
+    pub lose_every: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: MemoryTable,
+    hosts: BTreeMap<HostId, HostEntry>,
+    faults: BTreeMap<HostId, PlatformFault>,
+    routes: BTreeMap<(HostId, HostId), SocketAddr>,
+    reads: u64,
+    commits: u64,
+}
+
+/// A stand-in for the platform. Each host has a port of its own, so that faults and addresses can
+/// differ between hosts.
+#[derive(Clone, Debug)]
+pub struct PlatformStandIn {
+    state: Arc<Mutex<State>>,
+    ports: BTreeMap<HostId, SocketAddr>,
+}
+
+/// Starting and reading.
+impl PlatformStandIn {
+    /// Starts a platform with a port for each of these hosts.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub fn start(hosts: &[HostId]) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let mut ports = BTreeMap::new();
+        let mut listeners = Vec::new();
+        for host in hosts {
+            let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+            listener.set_nonblocking(true)?;
+            ports.insert(*host, listener.local_addr()?);
+            listeners.push((*host, listener));
+        }
+        let shared = Arc::clone(&state);
+        spawn_system("platform", move || serve(listeners, shared));
+        Ok(Self { state, ports })
+    }
+
+    /// Returns the address for a host.
+    pub fn address(&self, host: HostId) -> SocketAddr {
+        self.ports[&host]
+    }
+
+    /// Returns the numbers of reads and writes so far.
+    pub fn load(&self) -> (u64, u64) {
+        let state = lock(&self.state);
+        (state.reads, state.commits)
+    }
+
+    /// Asks the table without any fault.
+    pub fn table(&self, request: TableRequest) -> TableAnswer {
+        lock(&self.state).table.execute(request)
+    }
+}
+
+/// Faults.
+impl PlatformStandIn {
+    /// Sets what is wrong for all hosts.
+    pub fn set_all(&self, fault: PlatformFault) {
+        let mut state = lock(&self.state);
+        for host in self.ports.keys() {
+            state.faults.insert(*host, fault);
+        }
+    }
+
+    /// Sets what is wrong for one host.
+    pub fn set(&self, host: HostId, fault: PlatformFault) {
+        lock(&self.state).faults.insert(host, fault);
+    }
+
+    /// Makes `asker` reach `target` through another address.
+    pub fn route(&self, asker: HostId, target: HostId, address: SocketAddr) {
+        lock(&self.state).routes.insert((asker, target), address);
+    }
+}
+
+async fn serve(listeners: Vec<(HostId, std::net::TcpListener)>, state: Arc<Mutex<State>>) {
+    let servers = listeners.into_iter().map(|(host, listener)| {
+        let state = Arc::clone(&state);
+        async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            let handler = move |request| handle(host, Arc::clone(&state), request);
+            let factory = HttpService::build().h1(fn_service(handler)).into_factory();
+            let Ok(service) = factory.new_service(()).await else { return };
+            while let Ok((stream, from)) = listener.accept().await {
+                actix_rt::spawn(service.call((stream, Some(from))));
+            }
+        }
+    });
+    futures_util::future::join_all(servers).await;
+}
+
+async fn handle(
+    asker: HostId,
+    state: Arc<Mutex<State>>,
+    mut request: Request,
+) -> Result<Response<BoxBody>, Infallible> {
+    let fault = lock(&state).faults.get(&asker).copied().unwrap_or_default();
+    if fault.out {
+        return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, String::new()));
+    }
+    let mut body = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(Ok(part)) = payload.next().await {
+        body.extend_from_slice(&part);
+    }
+    let path = request.path().to_owned();
+    let (status, json, lost) = match (request.method(), path.as_str()) {
+        (&Method::POST, "/v1/table") => execute(&state, fault, &body),
+        (&Method::GET, "/v1/hosts") => (StatusCode::OK, list(&state, asker), false),
+        (&Method::POST, "/v1/hosts") => (register(&state, &body), "{}".to_owned(), false),
+        _ => (StatusCode::NOT_FOUND, String::new(), false),
+    };
+    if !fault.delay.is_zero() {
+        actix_rt::time::sleep(fault.delay).await;
+    }
+    if lost {
+        std::future::pending::<()>().await;
+    }
+    Ok(answer(status, json))
+}
+
+fn execute(state: &Mutex<State>, fault: PlatformFault, body: &[u8]) -> (StatusCode, String, bool) {
+    let Ok(request) = serde_json::from_slice::<TableRequest>(body) else {
+        return (StatusCode::BAD_REQUEST, String::new(), false);
+    };
+    let mut state = lock(state);
+    let write = matches!(request, TableRequest::Commit { .. });
+    if write {
+        state.commits += 1
+    } else {
+        state.reads += 1
+    }
+    let lost = write && fault.lose_every > 0 && state.commits.is_multiple_of(fault.lose_every);
+    let answer = state.table.execute(request);
+    (StatusCode::OK, serde_json::to_string(&answer).unwrap_or_default(), lost)
+}
+
+fn list(state: &Mutex<State>, asker: HostId) -> String {
+    let state = lock(state);
+    let routed = |entry: &HostEntry| {
+        let address = state.routes.get(&(asker, entry.host)).copied();
+        HostEntry { peer_address: address.unwrap_or(entry.peer_address), ..entry.clone() }
+    };
+    let hosts: Vec<HostEntry> = state.hosts.values().map(routed).collect();
+    serde_json::to_string(&hosts).unwrap_or_default()
+}
+
+fn register(state: &Mutex<State>, body: &[u8]) -> StatusCode {
+    match serde_json::from_slice::<HostEntry>(body) {
+        Ok(entry) => {
+            lock(state).hosts.insert(entry.host, entry);
+            StatusCode::OK
+        }
+        Err(_) => StatusCode::BAD_REQUEST,
+    }
+}
+
+fn answer(status: StatusCode, body: String) -> Response<BoxBody> {
+    Response::build(status).body(body).map_into_boxed_body()
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/testbed/src/upstream/server.rs
@@ -0,0 +1,197 @@
+//! One instance.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::header::RETRY_AFTER;
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+use super::{InstanceFault, LatencyModel, Ledger, LedgerEntry};
+use crate::TestRandom;
+
+const SLOTS: usize = 4;
+/// Requests that may wait for a slot before load is shed.
+const QUEUE_MAX: usize = 16;
+const PROBE_TIME: Duration = Duration::from_millis(25);
+const FAULT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// What an instance needs to run.
+#[derive(Clone)]
+pub(super) struct InstanceSetup {
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+    pub(super) fault: Arc<Mutex<InstanceFault>>,
+    pub(super) latency: LatencyModel,
+    pub(super) answer_bytes: usize,
+    pub(super) ledger: Ledger,
+    pub(super) seed: u64,
+}
+
+struct Instance {
+    setup: InstanceSetup,
+    slots: Semaphore,
+    waiting: RefCell<usize>,
+    random: RefCell<TestRandom>,
+}
+
+/// Serves until the process ends; refuses connections while the fault says so.
+pub(super) async fn serve(setup: InstanceSetup, listener: std::net::TcpListener) {
+    let instance = Rc::new(Instance {
+        random: RefCell::new(TestRandom::new(setup.seed)),
+        slots: Semaphore::new(SLOTS),
+        waiting: RefCell::new(0),
+        setup,
+    });
+    let handled = Rc::clone(&instance);
+    let handler = move |request| handle(Rc::clone(&handled), request);
+    let factory = HttpService::build().h1(fn_service(handler)).into_factory();
+    let Ok(service) = factory.new_service(()).await else { return };
+    let mut listener = TcpListener::from_std(listener).ok();
+    loop {
+        let mut connections = Vec::new();
+        if let Some(open) = listener.take() {
+            loop {
+                tokio::select! {
+                    accepted = open.accept() => if let Ok((stream, from)) = accepted {
+                        let connection = service.call((stream, Some(from)));
+                        connections.push(actix_rt::spawn(connection));
+                    },
+                    () = until(&instance, true) => break,
+                }
+            }
+        }
+        connections.iter().for_each(|connection| connection.abort());
+        until(&instance, false).await;
+        listener = TcpListener::bind(instance.setup.address).await.ok();
+    }
+}
+
+async fn until(instance: &Instance, refuse: bool) {
+    while instance.fault().refuse != refuse {
+        actix_rt::time::sleep(FAULT_INTERVAL).await;
+    }
+}
+
+async fn handle(instance: Rc<Instance>, request: Request) -> Result<Response<BoxBody>, Infallible> {
+    if request.path() == "/health" {
+        return Ok(instance.probe().await);
+    }
+    let fault = instance.fault();
+    instance.record(&request);
+    let host = sending_host(&request);
+    if fault.silent || host.is_some_and(|host| fault.silent_for.contains(&host)) {
+        std::future::pending::<()>().await;
+    }
+    if fault.shed || *instance.waiting.borrow() >= QUEUE_MAX {
+        let mut response = Response::build(StatusCode::SERVICE_UNAVAILABLE);
+        response.insert_header((RETRY_AFTER, "1"));
+        return Ok(response.body("shed").map_into_boxed_body());
+    }
+    instance.work(&fault).await;
+    Ok(instance.answer(&fault))
+}
+
+impl Instance {
+    fn fault(&self) -> InstanceFault {
+        self.setup.fault.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn probe(&self) -> Response<BoxBody> {
+        let fault = self.fault();
+        if fault.silent || !fault.silent_for.is_empty() {
+            std::future::pending::<()>().await;
+        }
+        let time = PROBE_TIME * fault.slow_factor.max(1);
+        actix_rt::time::sleep(time).await;
+        let failed = self.chance(fault.error_percent);
+        let status = if failed { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
+        Response::build(status).body("health").map_into_boxed_body()
+    }
+
+    async fn work(&self, fault: &InstanceFault) {
+        let time = self.setup.latency.sample(&mut self.random.borrow_mut());
+        *self.waiting.borrow_mut() += 1;
+        let waiting = WaitingGuard(self);
+        let slot = self.slots.acquire().await;
+        drop(waiting);
+        actix_rt::time::sleep(time * fault.slow_factor.max(1)).await;
+        drop(slot);
+    }
+
+    fn answer(&self, fault: &InstanceFault) -> Response<BoxBody> {
+        if self.chance(fault.error_percent) {
+            let mut response = Response::build(StatusCode::INTERNAL_SERVER_ERROR);
+            return response.body("error").map_into_boxed_body();
+        }
+        let body = vec![b'x'; self.setup.answer_bytes];
+        let mut response = Response::build(StatusCode::OK);
+        response.insert_header(("x-instance", self.setup.name.as_str()));
+        if self.chance(fault.truncate_percent) {
+            let size = body.len() as u64 + 1;
+            return response.body(CutBody { size, part: Some(body.into()) }).map_into_boxed_body();
+        }
+        response.body(body).map_into_boxed_body()
+    }
+
+    fn chance(&self, percent: u32) -> bool {
+        percent > 0 && self.random.borrow_mut().below(100) < percent as usize
+    }
+
+    fn record(&self, request: &Request) {
+        let headers = request.head().headers.iter().map(|(name, value)| {
+            (name.as_str().to_owned(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+        });
+        self.setup.ledger.record(LedgerEntry {
+            instance: self.setup.name.clone(),
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            headers: headers.collect(),
+            at: Instant::now(),
+        });
+    }
+}
+
+struct WaitingGuard<'a>(&'a Instance);
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        *self.0.waiting.borrow_mut() -= 1;
+    }
+}
+
+/// Returns the number of the host that sent a request, which begins its request id.
+fn sending_host(request: &Request) -> Option<u32> {
+    let id = request.head().headers.get("x-request-id")?.to_str().ok()?;
+    id.split('-').next()?.parse().ok()
+}
+
+/// A body that ends before its stated length.
+struct CutBody {
+    size: u64,
+    part: Option<Bytes>,
+}
+
+impl MessageBody for CutBody {
+    type Error = std::io::Error;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.size)
+    }
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Bytes, Self::Error>>> {
+        let cut = || std::io::Error::other("cut short");
+        std::task::Poll::Ready(Some(self.part.take().ok_or_else(cut)))
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/upstream/stand_in.rs
@@ -0,0 +1,89 @@
+//! All instances of one service.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use ebonytack_core::mix;
+
+use super::server::{InstanceSetup, serve};
+use super::{InstanceFault, LatencyModel, Ledger, LedgerEntry};
+use crate::runtime::spawn_system;
+
+/// Instances that share a thread.
+const INSTANCES_PER_THREAD: usize = 10;
+
+/// All instances of one service, named `SERVICE-1` and so on.
+#[derive(Clone, Debug)]
+pub struct UpstreamStandIn {
+    addresses: BTreeMap<String, SocketAddr>,
+    faults: BTreeMap<String, Arc<Mutex<InstanceFault>>>,
+    ledger: Ledger,
+}
+
+impl UpstreamStandIn {
+    /// Starts `count` instances.
+    ///
+    /// # Errors
+    ///
+    /// When no port is free.
+    pub fn start(
+        service: &str,
+        count: usize,
+        latency: LatencyModel,
+        answer_bytes: usize,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let mut stand_in =
+            Self { addresses: BTreeMap::new(), faults: BTreeMap::new(), ledger: Ledger::default() };
+        let mut instances = Vec::new();
+        for number in 1..=count {
+            let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+            listener.set_nonblocking(true)?;
+            let name = format!("{service}-{number}");
+            let address = listener.local_addr()?;
+            let fault = Arc::new(Mutex::new(InstanceFault::default()));
+            stand_in.addresses.insert(name.clone(), address);
+            stand_in.faults.insert(name.clone(), Arc::clone(&fault));
+            let ledger = stand_in.ledger.clone();
+            let seed = mix(seed ^ number as u64);
+            let setup = InstanceSetup { name, address, fault, latency, answer_bytes, ledger, seed };
+            instances.push((setup, listener));
+        }
+        while !instances.is_empty() {
+            let share: Vec<_> =
+                instances.drain(..instances.len().min(INSTANCES_PER_THREAD)).collect();
+            spawn_system("upstream", move || async move {
+                let all = share.into_iter().map(|(setup, listener)| serve(setup, listener));
+                futures_util::future::join_all(all).await;
+            });
+        }
+        Ok(stand_in)
+    }
+
+    /// Returns the addresses by instance.
+    pub fn addresses(&self) -> &BTreeMap<String, SocketAddr> {
+        &self.addresses
+    }
+
+    /// Switches what is wrong with an instance.
+    pub fn set(&self, instance: &str, fault: InstanceFault) {
+        *self.faults[instance].lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Switches what is wrong with all instances.
+    pub fn set_all(&self, fault: &InstanceFault) {
+        self.faults.keys().for_each(|instance| self.set(instance, fault.clone()));
+    }
+
+    /// Returns everything that ran so far.
+    pub fn ledger(&self) -> Vec<LedgerEntry> {
+        self.ledger.entries()
+    }
+
+    /// Counts runs by the value of a header.
+    pub fn runs_by_header(&self, name: &str) -> BTreeMap<String, usize> {
+        self.ledger.runs_by_header(name)
+    }
+}
