feat(core): learn peers' addresses from peers

Cause: a host that restarted while the platform was out knew only its seeds, and its peers did not know its new address, so it never got a configuration. Each batch now says where its sender listens, and answers name a few peers.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -76,7 +76,12 @@
         timeout: Duration,
     },
     /// Send a batch to a peer.
-    Send(Batch),
+    Send {
+        /// Where the peer listens.
+        address: SocketAddr,
+        /// The batch.
+        batch: Batch,
+    },
     /// Ask the platform's table.
     Table {
         /// Names the question in the answer.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AttemptId, AttemptOutcome, Batch, CallId, HostId, InstanceId, KeyHash, OperatorRequest,
+    AttemptId, AttemptOutcome, Batch, CallId, InstanceId, KeyHash, OperatorRequest, PeerAddress,
     RequestId, ServiceId,
 };
 
@@ -58,7 +58,7 @@
     /// The platform's host list, or the seeds from the settings.
     HostList {
         /// Hosts that can be asked.
-        hosts: Vec<HostId>,
+        hosts: Vec<PeerAddress>,
     },
     /// An operator asks for something.
     Operator {
--- a/crates/core/src/host/identity.rs
+++ b/crates/core/src/host/identity.rs
@@ -1,5 +1,7 @@
 //! Who a host is.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{DataCentreId, HostId, Incarnation};
@@ -13,6 +15,8 @@
     pub incarnation: Incarnation,
     /// The data centre of the host.
     pub data_centre: DataCentreId,
+    /// Where peers reach the host.
+    pub peer_address: SocketAddr,
     /// The seed of random choices.
     pub seed: u64,
 }
--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! The state of one entry host and its reducer.
 
+mod address_book;
 mod claims;
 mod identity;
 mod operators;
@@ -10,5 +11,7 @@
 mod status;
 mod step;
 
+pub(crate) use address_book::AddressBook;
+pub use address_book::PeerAddress;
 pub use identity::Identity;
 pub use state::Host;
--- a/crates/core/src/host/peers.rs
+++ b/crates/core/src/host/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::Host;
+use super::{Host, PeerAddress};
 use crate::claim::{ClaimKey, ClaimRecord, ClaimVerdict};
 use crate::configuration::ChangeSet;
 use crate::health::{InstanceEvidence, Verdict};
@@ -17,6 +17,8 @@
 const NEWS_FANOUT: usize = 4;
 /// How long a host must have run before it counts in a majority.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Addresses of other hosts in one answer.
+const ADDRESSES_PER_REPLY: usize = 4;
 const CONFIGURATION_SHARD: &str = "configuration";
 
 /// What one host knows of another.
@@ -54,6 +56,11 @@
         peer.last_sequence = batch.sequence;
         peer.heard_at = Some(self.now);
         peer.revision = batch.revision;
+        self.addresses.learn(PeerAddress {
+            host: batch.from,
+            incarnation: batch.incarnation,
+            address: batch.reply_to,
+        });
         let from = (batch.from, batch.incarnation);
         for message in batch.messages {
             self.on_message(from, message);
@@ -64,7 +71,16 @@
     fn on_message(&mut self, from: (HostId, Incarnation), message: Message) {
         match message {
             Message::Sync { sent_at_us, revision } => self.on_sync(from.0, sent_at_us, revision),
-            Message::SyncReply { sent_at_us, revision: _, age_ms, settled, withdrawn, changes } => {
+            Message::SyncReply {
+                sent_at_us,
+                revision: _,
+                age_ms,
+                settled,
+                withdrawn,
+                changes,
+                addresses,
+            } => {
+                addresses.into_iter().for_each(|peer| self.addresses.learn(peer));
                 self.on_sync_reply(from.0, sent_at_us, age_ms, settled, &withdrawn, changes);
             }
             Message::News { withdrawn, changes } => {
@@ -117,6 +133,7 @@
             settled: self.now >= SETTLE_TIME,
             withdrawn: self.configuration.withdrawn(),
             changes: self.configuration.changes_after(revision),
+            addresses: self.some_addresses(),
         };
         self.out.send(from, reply);
     }
@@ -193,9 +210,10 @@
         let mut peers = BTreeSet::new();
         let me = self.identity.host;
         let declared = self.configuration.declaration.hosts();
-        let known: BTreeSet<HostId> =
-            declared.keys().chain(self.listed.iter()).copied().filter(|id| *id != me).collect();
-        let known: Vec<HostId> = known.into_iter().collect();
+        let loaded = self.configuration.is_loaded();
+        let belongs = |id: &HostId| *id != me && (!loaded || declared.contains_key(id));
+        let known: Vec<HostId> =
+            self.addresses.all().map(|peer| peer.host).filter(belongs).collect();
         for _ in 0..count * 2 {
             if let Some(peer) = known.get(self.random.below(known.len()))
                 && peers.len() < count
@@ -206,6 +224,13 @@
         peers.into_iter().collect()
     }
 
+    /// Returns where a few random hosts listen.
+    fn some_addresses(&mut self) -> Vec<PeerAddress> {
+        let all: Vec<PeerAddress> = self.addresses.all().copied().collect();
+        let start = self.random.below(all.len());
+        all.iter().cycle().skip(start).take(ADDRESSES_PER_REPLY.min(all.len())).copied().collect()
+    }
+
     /// Works out on which shards in use this host votes.
     fn refresh_wanted_shards(&mut self) {
         let declaration = &self.configuration.declaration;
--- a/crates/core/src/host/rounds.rs
+++ b/crates/core/src/host/rounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Host;
+use super::{Host, PeerAddress};
 use crate::{Effect, HostId, Message, Timer};
 
 const ROUND_INTERVAL: Duration = Duration::from_millis(50);
@@ -29,8 +29,8 @@
         self.sync_configuration();
     }
 
-    pub(super) fn on_host_list(&mut self, hosts: Vec<HostId>) {
-        self.listed = hosts;
+    pub(super) fn on_host_list(&mut self, hosts: Vec<PeerAddress>) {
+        hosts.into_iter().for_each(|peer| self.addresses.list(peer));
     }
 
     /// Begins a planned stop: no new requests, no holdings, tokens given back.
--- a/crates/core/src/host/state.rs
+++ b/crates/core/src/host/state.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::Identity;
 use super::operators::PendingCall;
 use super::peers::PeerView;
+use super::{AddressBook, Identity};
 use crate::admission::FairQueue;
 use crate::attempt::ActiveRequest;
 use crate::claim::{ClaimBook, ClaimContext};
@@ -35,7 +35,7 @@
     pub(super) attempts: BTreeMap<AttemptId, RequestId>,
     pub(super) next_attempt: AttemptId,
     pub(super) peers: BTreeMap<HostId, PeerView>,
-    pub(super) listed: Vec<HostId>,
+    pub(super) addresses: AddressBook,
     pub(super) calls: BTreeMap<CallId, PendingCall>,
     pub(super) next_call: CallId,
     pub(super) synced_at: Duration,
@@ -68,7 +68,7 @@
             attempts: BTreeMap::new(),
             next_attempt: 1,
             peers: BTreeMap::new(),
-            listed: Vec::new(),
+            addresses: AddressBook::default(),
             calls: BTreeMap::new(),
             next_call: 1 << 32,
             synced_at: Duration::ZERO,
--- a/crates/core/src/host/step.rs
+++ b/crates/core/src/host/step.rs
@@ -70,6 +70,7 @@
             self.out.push(Effect::RevisionInForce(self.reported_revision));
         }
         for (to, messages) in self.out.take_messages() {
+            let Some(address) = self.addresses.get(to) else { continue };
             let peer = self.peers.entry(to).or_default();
             peer.sent_sequence += 1;
             let batch = Batch {
@@ -78,9 +79,10 @@
                 to,
                 sequence: peer.sent_sequence,
                 revision: self.configuration.revision,
+                reply_to: self.identity.peer_address,
                 messages,
             };
-            self.out.push(Effect::Send(batch));
+            self.out.push(Effect::Send { address, batch });
         }
         if let Some(at) = self.timers.next_at()
             && self.next_wake.is_none_or(|wake| at < wake || wake <= self.now)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
     Detector, DetectorSettings, Evidence, InstanceEvidence, Scope, ServiceHealth, Verdict,
     VerdictPhase,
 };
-pub use host::{Host, Identity};
+pub use host::{Host, Identity, PeerAddress};
 pub use ids::{
     AttemptId, CallId, ChangeId, CustomerId, DataCentreId, HostId, Incarnation, InstanceId,
     RequestId, Revision, ServiceId, ShardId,
--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -104,7 +104,8 @@
         let given = self.choose(draw);
         self.level -= f64::from(given);
         self.record(from, draw, given, now);
-        let retry_after = self.retry_after(now);
+        let satisfied = given >= draw.needed;
+        let retry_after = if satisfied { Duration::ZERO } else { self.retry_after(now) };
         Some(Given { tokens: given, retry_after })
     }
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -3,12 +3,14 @@
 //! Every message may be lost, repeated or late. Fields named `sent_at_us` carry the asking host's
 //! own monotonic clock and come back unchanged in the answer.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{ClaimKey, ClaimRecord, ClaimVerdict, StoredAnswer};
 use crate::configuration::ChangeSet;
 use crate::health::{InstanceEvidence, Verdict};
-use crate::{CustomerId, HostId, Incarnation, KeyHash, Revision, ServiceId, ShardId};
+use crate::{CustomerId, HostId, Incarnation, KeyHash, PeerAddress, Revision, ServiceId, ShardId};
 
 /// All messages of one step from one host to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -23,6 +25,8 @@
     pub sequence: u64,
     /// The sender's revision.
     pub revision: Revision,
+    /// Where answers reach the sender.
+    pub reply_to: SocketAddr,
     /// The messages in order.
     pub messages: Vec<Message>,
 }
@@ -52,6 +56,8 @@
         withdrawn: Vec<KeyHash>,
         /// What the asking host lacks.
         changes: Option<ChangeSet>,
+        /// Where a few other hosts listen.
+        addresses: Vec<PeerAddress>,
     },
     /// Spreads changes as soon as they are known.
     News {
--- a/crates/ebonytack/src/peer/links.rs
+++ b/crates/ebonytack/src/peer/links.rs
@@ -8,15 +8,12 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use ebonytack_core::{Batch, HostId};
-use ebonytack_platform::HostEntry;
 use ebonytack_wire::{FleetSecret, encode_batch, peer_capnp};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use crate::settings::Settings;
-
 /// Batches that wait for one peer; what comes on top is lost.
 const QUEUE_MAX: usize = 256;
 /// Batches that a peer has not confirmed.
@@ -32,37 +29,17 @@
 /// The connections to all peers that this host talks to.
 pub(crate) struct PeerLinks {
     secret: FleetSecret,
-    addresses: RefCell<HashMap<HostId, SocketAddr>>,
     links: RefCell<HashMap<HostId, (SocketAddr, mpsc::Sender<Batch>)>>,
 }
 
 impl PeerLinks {
-    /// Creates the links of a host that knows its seeds only.
-    pub(crate) fn new(settings: &Settings) -> Self {
-        Self {
-            secret: FleetSecret::new(&settings.fleet_secret),
-            addresses: RefCell::new(settings.seeds.iter().copied().collect()),
-            links: RefCell::default(),
-        }
-    }
-
-    /// Takes the platform's host list over. Hosts that are not listed keep their last address,
-    /// because the list lags.
-    pub(crate) fn set_addresses(&self, hosts: &[HostEntry]) {
-        let mut addresses = self.addresses.borrow_mut();
-        addresses.extend(hosts.iter().map(|entry| (entry.host, entry.peer_address)));
-    }
-
-    /// Returns the hosts whose address is known.
-    pub(crate) fn known(&self) -> Vec<HostId> {
-        let mut hosts: Vec<HostId> = self.addresses.borrow().keys().copied().collect();
-        hosts.sort_unstable();
-        hosts
+    /// Creates links whose batches are signed with this secret.
+    pub(crate) fn new(secret: &str) -> Self {
+        Self { secret: FleetSecret::new(secret), links: RefCell::default() }
     }
 
     /// Sends a batch, or loses it when the peer cannot keep up.
-    pub(crate) fn send(&self, batch: Batch) {
-        let Some(address) = self.addresses.borrow().get(&batch.to).copied() else { return };
+    pub(crate) fn send(&self, address: SocketAddr, batch: Batch) {
         let mut links = self.links.borrow_mut();
         let open =
             links.get(&batch.to).filter(|(at, sender)| *at == address && !sender.is_closed());
--- a/crates/ebonytack/src/runtime/platform_link.rs
+++ b/crates/ebonytack/src/runtime/platform_link.rs
@@ -49,9 +49,9 @@
         loop {
             self.register(entry.clone()).await;
             if let Some(hosts) = self.hosts().await {
-                shell.peers.set_addresses(&hosts);
+                let hosts = hosts.iter().map(HostEntry::peer).collect();
+                shell.feed(Event::HostList { hosts });
             }
-            shell.feed(Event::HostList { hosts: shell.peers.known() });
             actix_rt::time::sleep(HOST_LIST_INTERVAL).await;
         }
     }
--- a/crates/ebonytack/src/runtime/serve.rs
+++ b/crates/ebonytack/src/runtime/serve.rs
@@ -1,9 +1,10 @@
 //! Starting and stopping a host.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use ebonytack_core::{Event, Host, Identity};
+use ebonytack_core::{Event, Host, HostId, Identity, PeerAddress};
 use ebonytack_platform::{HostEntry, HostState};
 use eyre::Result;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -31,7 +32,13 @@
     let shell = Shell::new(host, settings, platform.clone(), trace);
     listen(&shell, metrics).await?;
     log::info!("start: host {} serves on {}.", shell.settings.host, shell.settings.callers);
-    shell.feed(Event::HostList { hosts: shell.peers.known() });
+    let seed = |(host, address): &(HostId, SocketAddr)| PeerAddress {
+        host: *host,
+        incarnation: 0,
+        address: *address,
+    };
+    let hosts = shell.settings.seeds.iter().map(seed).collect();
+    shell.feed(Event::HostList { hosts });
     actix_rt::spawn(Rc::clone(&shell).tick_loop());
     let follow = platform.clone().follow_hosts(Rc::clone(&shell), entry.clone());
     let follow = actix_rt::spawn(follow);
@@ -77,6 +84,7 @@
         host: settings.host,
         incarnation: u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX),
         data_centre: settings.data_centre.clone(),
+        peer_address: settings.advertised_peers,
         seed: settings.seed,
     }
 }
--- a/crates/ebonytack/src/runtime/shell.rs
+++ b/crates/ebonytack/src/runtime/shell.rs
@@ -60,7 +60,7 @@
         platform: PlatformLink,
         trace: Option<TraceWriter>,
     ) -> Rc<Self> {
-        let peers = PeerLinks::new(&settings);
+        let peers = PeerLinks::new(&settings.fleet_secret);
         Rc::new(Self {
             host: RefCell::new(host),
             started_at: Instant::now(),
@@ -207,7 +207,7 @@
                 let shell = Rc::clone(self);
                 self.upstreams.probe(shell, (service, instance), address, &path, timeout);
             }
-            Effect::Send(batch) => self.peers.send(batch),
+            Effect::Send { address, batch } => self.peers.send(address, batch),
             Effect::Table { call, request } => self.platform.ask(Rc::clone(self), call, request),
             Effect::Reply { call, reply } => {
                 if let Some(sender) = self.operators.borrow_mut().remove(&call) {
--- a/crates/platform/src/host_entry.rs
+++ b/crates/platform/src/host_entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ebonytack_core::{DataCentreId, HostId, Incarnation};
+use ebonytack_core::{DataCentreId, HostId, Incarnation, PeerAddress};
 use serde::{Deserialize, Serialize};
 
 /// One host in the platform's list, which lags.
@@ -21,6 +21,13 @@
     pub state: HostState,
 }
 
+impl HostEntry {
+    /// Returns where peers reach the host.
+    pub fn peer(&self) -> PeerAddress {
+        PeerAddress { host: self.host, incarnation: self.incarnation, address: self.peer_address }
+    }
+}
+
 /// Whether a host stays.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/testbed/src/fleet/process.rs
+++ b/crates/testbed/src/fleet/process.rs
@@ -3,12 +3,15 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use ebonytack_core::HostId;
 use eyre::{Result, WrapErr};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+const PORT_FIRST: u16 = 10_000;
+const PORT_COUNT: u16 = 20_000;
 /// The argument that makes a program of the testbed act as a host.
 const HOST_ROLE: &str = "act-as-host";
 
@@ -161,7 +164,16 @@
     }
 }
 
+/// Returns an address below the ports that the system gives to outgoing connections.
 fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(listener.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 1_000) as u16 * 20;
+    for _ in 0..PORT_COUNT {
+        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORT_FIRST + offset));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(eyre::eyre!("no port is free"))
 }
--- a/crates/testbed/src/fleet/run.rs
+++ b/crates/testbed/src/fleet/run.rs
@@ -17,6 +17,8 @@
 
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Hosts that each host knows from its settings.
+const SEEDS: usize = 5;
 const FLEET_SECRET: &str = "fleet-secret-of-the-testbed";
 
 /// A running fleet with its platform and upstreams.
@@ -72,8 +74,13 @@
             hosts.push(HostProcess::plan(host, program, &directory)?);
         }
         let proxies = if plan.proxied { proxies(&hosts, &platform)? } else { BTreeMap::new() };
+        let seeds: Vec<_> = hosts
+            .iter()
+            .take(SEEDS)
+            .map(|host| json!({"host": host.host, "address": host.peers}))
+            .collect();
         for host in &mut hosts {
-            host.configure(&settings(host, plan, &platform))?;
+            host.configure(&settings(host, plan, &platform, &seeds))?;
             host.start()?;
         }
         Ok(Self { hosts, platform, upstreams, declaration, proxies, directory })
@@ -226,7 +233,12 @@
     Ok(proxies)
 }
 
-fn settings(host: &HostProcess, plan: &FleetPlan, platform: &PlatformStandIn) -> serde_json::Value {
+fn settings(
+    host: &HostProcess,
+    plan: &FleetPlan,
+    platform: &PlatformStandIn,
+    seeds: &[serde_json::Value],
+) -> serde_json::Value {
     let trace_file = plan
         .trace_directory
         .as_ref()
@@ -240,6 +252,7 @@
             "admin": host.admin,
         },
         "platform": {"kind": "http", "address": platform.address(host.host)},
+        "seeds": seeds,
         "fleet_secret": FLEET_SECRET,
         "operator_token_sha256": KeyHash::of(TOKEN.as_bytes()),
         "seed": plan.seed ^ u64::from(host.host),
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod fault_proxy;
 mod fleet;
+pub mod measure;
 mod operator;
 mod platform;
 mod random;
--- /dev/null
+++ b/crates/testbed/src/measure/scenario.rs
@@ -0,0 +1,48 @@
+//! The closed list of scenarios.
+
+use std::path::Path;
+
+use eyre::Result;
+
+use super::{Report, limits, overhead};
+
+/// What can be measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scenario {
+    /// Rate and burst over the whole fleet.
+    Limits,
+    /// Time added to a request.
+    Overhead,
+}
+
+impl Scenario {
+    /// All scenarios.
+    pub const ALL: [Self; 2] = [Self::Limits, Self::Overhead];
+
+    /// Returns the name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Limits => "limits",
+            Self::Overhead => "overhead",
+        }
+    }
+
+    /// Returns the scenario of that name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|scenario| scenario.name() == name)
+    }
+
+    /// Measures, with hosts started from `program`.
+    ///
+    /// # Errors
+    ///
+    /// When the fleet cannot be started.
+    pub async fn run(self, program: &Path, seed: u64) -> Result<Report> {
+        let mut report = Report::new(self.name(), seed);
+        match self {
+            Self::Limits => limits::run(program, seed, &mut report).await?,
+            Self::Overhead => overhead::run(program, seed, &mut report).await?,
+        }
+        Ok(report)
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -14,6 +14,7 @@
   sequence @4 :UInt64;
   revision @5 :UInt64;
   messages @6 :List(Message);
+  replyTo @7 :Text;
 }
 
 struct Message {
@@ -47,8 +48,11 @@
   settled @3 :Bool;
   withdrawn @4 :List(Data);
   changesJson @5 :Data;  # empty when there are none
+  addresses @6 :List(PeerAddress);
 }
 
+struct PeerAddress { host @0 :UInt32; incarnation @1 :UInt64; address @2 :Text; }
+
 struct News { withdrawn @0 :List(Data); changesJson @1 :Data; }
 
 struct LeaseRequest { shard @0 :UInt32; lease @1 :UInt64; sentAtUs @2 :UInt64; }
--- a/crates/wire/src/decode/mod.rs
+++ b/crates/wire/src/decode/mod.rs
@@ -3,9 +3,11 @@
 mod claims;
 mod health;
 
+use std::net::SocketAddr;
+
 use capnp::message::ReaderOptions;
 use capnp::serialize;
-use ebonytack_core::{Batch, ChangeSet, Draw, Grant, KeyHash, Message};
+use ebonytack_core::{Batch, ChangeSet, Draw, Grant, KeyHash, Message, PeerAddress};
 
 use crate::generated::peer_capnp as schema;
 use crate::{BATCH_MAX_BYTES, Error, ErrorKind, Result, VERSION};
@@ -37,6 +39,7 @@
         to: root.get_to(),
         sequence: root.get_sequence(),
         revision: root.get_revision(),
+        reply_to: decode_address(root.get_reply_to()?)?,
         messages: root.get_messages()?.iter().map(decode_message).collect::<Result<_>>()?,
     })
 }
@@ -57,6 +60,7 @@
                 settled: from.get_settled(),
                 withdrawn: decode_keys(from.get_withdrawn()?)?,
                 changes: decode_changes(from.get_changes_json()?)?,
+                addresses: from.get_addresses()?.iter().map(decode_peer).collect::<Result<_>>()?,
             }
         }
         Which::News(from) => {
@@ -105,6 +109,20 @@
     })
 }
 
+fn decode_peer(from: schema::peer_address::Reader<'_>) -> Result<PeerAddress> {
+    Ok(PeerAddress {
+        host: from.get_host(),
+        incarnation: from.get_incarnation(),
+        address: decode_address(from.get_address()?)?,
+    })
+}
+
+fn decode_address(text: capnp::text::Reader<'_>) -> Result<SocketAddr> {
+    let text = text.to_str()?;
+    let refuse = |_| Error::new(ErrorKind::Malformed, format!("address {text:?}"));
+    text.parse().map_err(refuse)
+}
+
 fn decode_draw(from: schema::draw::Reader<'_>) -> Result<Draw> {
     Ok(Draw {
         customer: from.get_customer()?.to_string()?,
--- a/crates/wire/src/encode/mod.rs
+++ b/crates/wire/src/encode/mod.rs
@@ -20,6 +20,7 @@
     root.set_to(batch.to);
     root.set_sequence(batch.sequence);
     root.set_revision(batch.revision);
+    root.set_reply_to(batch.reply_to.to_string());
     let mut list = root.init_messages(batch.messages.len() as u32);
     for (index, message) in batch.messages.iter().enumerate() {
         encode_message(list.reborrow().get(index as u32), message);
@@ -34,8 +35,23 @@
             to.set_sent_at_us(*sent_at_us);
             to.set_revision(*revision);
         }
-        Message::SyncReply { sent_at_us, revision, age_ms, settled, withdrawn, changes } => {
+        Message::SyncReply {
+            sent_at_us,
+            revision,
+            age_ms,
+            settled,
+            withdrawn,
+            changes,
+            addresses,
+        } => {
             let mut to = to.init_sync_reply();
+            let mut list = to.reborrow().init_addresses(addresses.len() as u32);
+            for (index, peer) in addresses.iter().enumerate() {
+                let mut to = list.reborrow().get(index as u32);
+                to.set_host(peer.host);
+                to.set_incarnation(peer.incarnation);
+                to.set_address(peer.address.to_string());
+            }
             to.set_sent_at_us(*sent_at_us);
             to.set_revision(*revision);
             to.set_age_ms(age_ms.unwrap_or(u32::MAX));
