perf(core): confirm spent tokens at once when they hold up the refill

Cause: with a burst of 5 the tokens that hosts had spent but not reported counted against the burst for 550 ms, so the bucket lost part of its refill. Ruled out: draws ahead (customers that slow draw none). The first seconds after a start count against the empty bucket of a new holder; the measurement now begins when buckets are full, as the ideal bucket it compares with does.

--- a/crates/core/src/limit/book.rs
+++ b/crates/core/src/limit/book.rs
@@ -111,10 +111,14 @@
         };
         account.accept(grant, context.now);
         let mut settled = account.serve(context.now);
-        if !account.waiters.is_empty() {
-            let more = self.draw_if_due(context, leases, &grant.customer, timers, out);
-            settled.admitted.extend(more.admitted);
-        }
+        let more = if !account.waiters.is_empty() {
+            self.draw_if_due(context, leases, &grant.customer, timers, out)
+        } else if grant.confirm && account.drawing_since.is_none() {
+            self.send_draw(context, leases, &grant.customer, false, timers, out)
+        } else {
+            Settled::default()
+        };
+        settled.admitted.extend(more.admitted);
         settled
     }
 
@@ -253,6 +257,7 @@
             sent_at_us: draw.sent_at_us,
             tokens: given.tokens,
             retry_after_ms: u32::try_from(given.retry_after.as_millis()).unwrap_or(u32::MAX),
+            confirm: given.confirm,
         })
     }
 }
@@ -310,7 +315,12 @@
         if let Some(held_since) = held_since {
             let me = (context.me, context.incarnation);
             let grant = self.give(context, held_since, me, &draw);
-            return self.settle_own(customer, grant, now, timers);
+            let confirm = grant.as_ref().is_some_and(|grant| grant.confirm);
+            let settled = self.settle_own(customer, grant, now, timers);
+            if confirm {
+                self.confirm_own(context, held_since, customer);
+            }
+            return settled;
         }
         let others: Vec<HostId> = voters.iter().filter(|v| **v != context.me).copied().collect();
         let turn = account.misses as usize % others.len().max(1);
@@ -323,6 +333,19 @@
         Settled::default()
     }
 
+    /// Tells this host's own bucket what was spent.
+    fn confirm_own(
+        &mut self,
+        context: &LimitContext<'_>,
+        held_since: Duration,
+        customer: &CustomerId,
+    ) {
+        let Some(account) = self.accounts.get_mut(customer) else { return };
+        let draw = Draw { needed: 0, ahead: 0, ..account.draw(customer, context.now, false) };
+        account.drawing_since = None;
+        self.give(context, held_since, (context.me, context.incarnation), &draw);
+    }
+
     fn settle_own(
         &mut self,
         customer: &CustomerId,
--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -9,6 +9,8 @@
 
 /// The part of the free tokens that one draw may take ahead of need.
 const AHEAD_DIVISOR: f64 = 8.0;
+/// The part of the burst from which tokens that may be spent already hold up the refill.
+const CONFIRM_DIVISOR: f64 = 8.0;
 const RETRY_RANGE_MS: (f64, f64) = (15.0, 200.0);
 /// How long a host's unmet need counts in the estimate of the next retry.
 const NEED_MEMORY: Duration = Duration::from_millis(250);
@@ -55,6 +57,8 @@
     pub tokens: u32,
     /// When to ask again for the rest.
     pub retry_after: Duration,
+    /// Whether to report at once what was spent, because it holds up the refill.
+    pub confirm: bool,
 }
 
 /// Building.
@@ -96,7 +100,7 @@
         now: Duration,
     ) -> Option<Given> {
         if now < self.usable_from {
-            return Some(Given { tokens: 0, retry_after: self.usable_from - now });
+            return Some(Given { tokens: 0, retry_after: self.usable_from - now, confirm: false });
         }
         let credit = self.settle(from, incarnation, draw, now)?;
         self.level += f64::from(credit);
@@ -106,7 +110,8 @@
         self.record(from, draw, given, now);
         let satisfied = given >= draw.needed;
         let retry_after = if satisfied { Duration::ZERO } else { self.retry_after(now) };
-        Some(Given { tokens: given, retry_after })
+        let crowded = f64::from(self.outstanding()) * CONFIRM_DIVISOR >= self.burst;
+        Some(Given { tokens: given, retry_after, confirm: given > 0 && crowded })
     }
 
     /// Returns the tokens that hosts can still spend.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -206,4 +206,6 @@
     pub tokens: u32,
     /// When to ask again for what was not granted.
     pub retry_after_ms: u32,
+    /// Whether to report at once what was spent, because it holds up the refill.
+    pub confirm: bool,
 }
--- a/crates/testbed/src/measure/limits.rs
+++ b/crates/testbed/src/measure/limits.rs
@@ -14,6 +14,8 @@
 const PHASE: Duration = Duration::from_secs(10);
 const KILL_PHASE: Duration = Duration::from_secs(20);
 const KILL_INTERVAL: Duration = Duration::from_secs(10);
+/// How long a bucket takes to fill; a burst is half a second of the rate.
+const FILL_TIME: Duration = Duration::from_secs(2);
 const RESTART_AFTER: Duration = Duration::from_millis(500);
 /// The share of its rate at which each customer sends.
 const LOAD: f64 = 0.95;
@@ -31,6 +33,8 @@
             })
             .await?;
     }
+    // A new holder begins with an empty bucket; the ideal one that is compared with begins full.
+    actix_rt::time::sleep(FILL_TIME).await;
     let streams = streams(&plan, 1.0);
     let load = Load::start(&fleet, &streams, PHASE, seed);
     judge(report, "table up", &plan, &load.finish().await, 0.001);
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -78,6 +78,7 @@
   sentAtUs @2 :UInt64;
   tokens @3 :UInt32;
   retryAfterMs @4 :UInt32;
+  confirm @5 :Bool;
 }
 
 struct InstanceEvidence {
--- a/crates/wire/src/decode/mod.rs
+++ b/crates/wire/src/decode/mod.rs
@@ -143,6 +143,7 @@
         sent_at_us: from.get_sent_at_us(),
         tokens: from.get_tokens(),
         retry_after_ms: from.get_retry_after_ms(),
+        confirm: from.get_confirm(),
     })
 }
 
--- a/crates/wire/src/encode/mod.rs
+++ b/crates/wire/src/encode/mod.rs
@@ -106,6 +106,7 @@
             to.set_sent_at_us(grant.sent_at_us);
             to.set_tokens(grant.tokens);
             to.set_retry_after_ms(grant.retry_after_ms);
+            to.set_confirm(grant.confirm);
         }
         Message::Evidence { .. } | Message::Verdicts { .. } => health::encode(to, message),
         Message::Claim { .. }
