--- a/crates/core/src/health/book.rs
+++ b/crates/core/src/health/book.rs
@@ -7,7 +7,8 @@
 use super::{DetectorSettings, Evidence, InstanceEvidence, ServiceHealth, ServiceView, Verdict};
 use crate::lease::{LeaseBook, shard_of};
 use crate::{
-    DataCentreId, Declaration, Effect, HostId, InstanceId, Message, Outbox, ServiceId, ShardId,
+    DataCentreId, Declaration, Effect, HostId, InstanceId, InstanceState, Message, Operation,
+    Outbox, Service, ServiceId, ShardId,
 };
 
 const LOCAL_SETTINGS: DetectorSettings = DetectorSettings {
@@ -84,6 +85,10 @@
             Sample::Shed => {}
         }
         let instance = view.instance(instance);
+        if instance.is_cold(now) {
+            evidence.fast = 0;
+            evidence.slow = 0;
+        }
         match sample {
             Sample::Good(latency) | Sample::GoodLate(latency) => instance.note_latency(latency),
             Sample::Slow => instance.note_latency(tail),
@@ -109,6 +114,31 @@
         }
     }
 
+    /// Notes instances that begin to take work.
+    pub(crate) fn on_operations(&mut self, operations: &[Operation], now: Duration) {
+        for operation in operations {
+            if let Operation::InstanceState { service, instance, value: InstanceState::Active } =
+                operation
+            {
+                self.view(service).instance(instance).begin(now);
+            }
+            if let Operation::Service { id, value: Some(service) } = operation {
+                self.begin_new_instances(id, service, now);
+            }
+        }
+    }
+
+    /// Notes instances of a service in use that this host has not seen before.
+    fn begin_new_instances(&mut self, id: &str, service: &Service, now: Duration) {
+        let Some(view) = self.services.get_mut(id) else { return };
+        for name in service.instances.keys() {
+            if !view.instances.contains_key(name) {
+                view.instance(name).begin(now);
+            }
+        }
+        view.instances.retain(|name, _| service.instances.contains_key(name));
+    }
+
     fn local_baseline(&self, service: &str) -> (f64, f64) {
         let Some(view) = self.services.get(service) else { return (0.0, 0.0) };
         let count = view.instances.len();
--- a/crates/core/src/health/instance_view.rs
+++ b/crates/core/src/health/instance_view.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::service_health::COLD_TIME;
 use super::{Detector, Evidence, Verdict, VerdictPhase};
 
 const AVOID_FIRST: Duration = Duration::from_millis(1_000);
@@ -10,6 +11,8 @@
 const AVOID_MEMORY: Duration = Duration::from_secs(60);
 /// How long an instance that turned a request away is spared.
 const SHED_PAUSE: Duration = Duration::from_millis(100);
+/// The share of its usual requests with which a cold instance begins.
+const COLD_SHARE: f64 = 0.1;
 const LATENCY_WEIGHT: f64 = 0.2;
 
 /// What one host knows of one instance.
@@ -27,6 +30,8 @@
     /// The fleet's ejection and when it lapses unless it is renewed.
     pub(crate) verdict: Option<(Verdict, Duration)>,
     pub(crate) probing: bool,
+    /// When the instance began to take work, if this host saw it begin.
+    began_at: Option<Duration>,
 }
 
 impl InstanceView {
@@ -42,6 +47,17 @@
         self.shed_until = now + SHED_PAUSE;
     }
 
+    /// Notes that the instance begins to take work, cold.
+    pub(crate) fn begin(&mut self, now: Duration) {
+        self.began_at = Some(now);
+        self.detector.reset();
+    }
+
+    /// Returns whether the instance may be slow because it has just begun.
+    pub(crate) fn is_cold(&self, now: Duration) -> bool {
+        self.began_at.is_some_and(|began_at| now < began_at + COLD_TIME)
+    }
+
     /// Avoids the instance for a while, longer each time.
     pub(crate) fn avoid(&mut self, now: Duration) {
         if now > self.avoid_until + AVOID_MEMORY {
@@ -66,10 +82,18 @@
         match self.phase(now) {
             Some(VerdictPhase::Ejected) => 0.0,
             Some(VerdictPhase::Returning(percent)) => f64::from(percent) / 100.0,
+            None if self.is_cold(now) => self.warmth(now),
             None => 1.0,
         }
     }
 
+    /// Returns the share of its usual requests that a cold instance gets.
+    fn warmth(&self, now: Duration) -> f64 {
+        let began_at = self.began_at.unwrap_or_default();
+        let part = now.saturating_sub(began_at).as_secs_f64() / COLD_TIME.as_secs_f64();
+        COLD_SHARE + (1.0 - COLD_SHARE) * part
+    }
+
     /// Returns the expected wait at the instance, for comparison only.
     pub(crate) fn load(&self, now: Duration) -> f64 {
         let shed = if now < self.shed_until { 4.0 } else { 1.0 };
--- a/crates/core/src/health/service_health.rs
+++ b/crates/core/src/health/service_health.rs
@@ -25,7 +25,7 @@
 /// How long a host keeps an ejection that is not renewed.
 pub(crate) const VERDICT_DURATION: Duration = Duration::from_secs(3);
 /// How long a new instance may be slow.
-const COLD_TIME: Duration = Duration::from_secs(5);
+pub(crate) const COLD_TIME: Duration = Duration::from_secs(5);
 
 /// The health of a service's instances, as its holder sees it.
 ///
@@ -89,7 +89,8 @@
             });
             watched.observe(data_centre, entry, baseline, now);
         }
-        self.instances.retain(|id, _| service.instances.contains_key(id));
+        let active = |id: &InstanceId| service.instances.get(id).is_some_and(|i| i.is_active());
+        self.instances.retain(|id, _| active(id));
         self.judge(service, now);
     }
 
--- a/crates/core/src/host/peers.rs
+++ b/crates/core/src/host/peers.rs
@@ -186,6 +186,7 @@
             self.leases.voter_map.clear();
         }
         if !operations.is_empty() {
+            self.health.on_operations(&operations, self.now);
             self.refresh_wanted_shards();
             self.refresh_queues();
         }
--- a/crates/testbed/src/measure/mod.rs
+++ b/crates/testbed/src/measure/mod.rs
@@ -1,6 +1,10 @@
 //! Measurements of a fleet against stated targets, beside simple baselines.
 
+mod baseline;
 mod bucket_check;
+mod co_op;
+mod gray;
+mod healthy;
 mod limits;
 mod load;
 mod overhead;
--- a/crates/testbed/src/measure/scenario.rs
+++ b/crates/testbed/src/measure/scenario.rs
@@ -4,11 +4,15 @@
 
 use eyre::Result;
 
-use super::{Report, limits, overhead};
+use super::{Report, gray, healthy, limits, overhead};
 
 /// What can be measured.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Scenario {
+    /// The time to detect a failing instance.
+    Gray,
+    /// False ejections when nothing is wrong.
+    Healthy,
     /// Rate and burst over the whole fleet.
     Limits,
     /// Time added to a request.
@@ -17,11 +21,13 @@
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 2] = [Self::Limits, Self::Overhead];
+    pub const ALL: [Self; 4] = [Self::Gray, Self::Healthy, Self::Limits, Self::Overhead];
 
     /// Returns the name on the command line.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Gray => "gray",
+            Self::Healthy => "healthy",
             Self::Limits => "limits",
             Self::Overhead => "overhead",
         }
@@ -40,6 +46,8 @@
     pub async fn run(self, program: &Path, seed: u64) -> Result<Report> {
         let mut report = Report::new(self.name(), seed);
         match self {
+            Self::Gray => gray::run(program, seed, &mut report).await?,
+            Self::Healthy => healthy::run(program, seed, &mut report).await?,
             Self::Limits => limits::run(program, seed, &mut report).await?,
             Self::Overhead => overhead::run(program, seed, &mut report).await?,
         }
--- a/crates/testbed/src/upstream/fault.rs
+++ b/crates/testbed/src/upstream/fault.rs
@@ -46,6 +46,11 @@
         Self { median, sigma: 10f64.ln() / 2.326 }
     }
 
+    /// Returns the mean.
+    pub fn mean(&self) -> Duration {
+        self.median.mul_f64((self.sigma * self.sigma / 2.0).exp())
+    }
+
     pub(super) fn sample(&self, random: &mut TestRandom) -> Duration {
         self.median.mul_f64((self.sigma * random.normal()).exp())
     }
