fix(health): judge latencies by windows and pool evidence over data centres

Latencies are now judged 150 ms at a time; a window without any answer weighs more, so silence stays fast. All evidence is now pooled as well, and an ejection needs two hosts as witnesses. Cause 3: three good probes fit into one good second of a flapper; six do not.

--- a/crates/core/src/health/book.rs
+++ b/crates/core/src/health/book.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::service_health::VERDICT_DURATION;
+use super::service_health::{Reporter, VERDICT_DURATION};
 use super::{DetectorSettings, Evidence, InstanceEvidence, ServiceHealth, ServiceView, Verdict};
 use crate::lease::{LeaseBook, shard_of};
 use crate::{
@@ -14,9 +14,11 @@
 const LOCAL_SETTINGS: DetectorSettings = DetectorSettings {
     failed_share_healthy: 0.02,
     failed_share_excess: 0.3,
-    slow_share_healthy: 0.1,
-    slow_share_excess: 0.5,
-    threshold: 7.0,
+    slow_window_share: 0.6,
+    slow_windows_healthy: 0.1,
+    slow_windows_ill: 0.7,
+    silent_windows_healthy: 0.02,
+    threshold: 8.0,
 };
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -194,8 +196,8 @@
         let sent_at_us = u64::try_from(now.as_micros()).unwrap_or(u64::MAX);
         let held_since = leases.held_since(shard, now);
         if let Some(held_since) = held_since {
-            let reply =
-                self.judge(context, held_since, service, context.data_centre, &instances, &applied);
+            let me = Reporter { host: context.me, data_centre: context.data_centre };
+            let reply = self.judge(context, held_since, service, me, &instances, &applied);
             self.apply(context, service, sent_at_us, reply, out);
             return;
         }
@@ -275,15 +277,15 @@
         context: &HealthContext<'_>,
         held_since: Duration,
         service: &ServiceId,
-        data_centre: &DataCentreId,
+        reporter: Reporter<'_>,
         instances: &[InstanceEvidence],
         applied: &[Verdict],
     ) -> Vec<Verdict> {
         let Some(declared) = context.declaration.service(service) else { return Vec::new() };
         let health =
             self.held.entry(service.clone()).or_insert_with(|| ServiceHealth::new(held_since));
-        health.report(declared, data_centre, instances, applied, context.now);
-        health.verdicts(data_centre, context.now)
+        health.report(declared, reporter, instances, applied, context.now);
+        health.verdicts(reporter.data_centre, context.now)
     }
 
     /// Drops the state of shards that this host no longer holds.
--- a/crates/core/src/health/detector.rs
+++ b/crates/core/src/health/detector.rs
@@ -1,4 +1,4 @@
-//! A sequential test on the outcomes of one instance.
+//! Sequential tests on the outcomes and latencies of one instance.
 
 use std::time::Duration;
 
@@ -8,32 +8,46 @@
 const SHARE_MEMORY: Duration = Duration::from_secs(3);
 /// The prior weight, in attempts, that keeps a share near zero until there is evidence.
 const SHARE_PRIOR: f64 = 8.0;
+/// The share of failures from which an ill instance cannot be told apart.
 const SHARE_MAX: f64 = 0.95;
+/// The least length of a window in which latencies are judged together.
+const WINDOW: Duration = Duration::from_millis(150);
+/// The fewest timed attempts in a window.
+const WINDOW_ATTEMPTS: u32 = 3;
 
-/// What the test distinguishes.
+/// What the tests distinguish.
 #[derive(Clone, Copy, Debug)]
 pub struct DetectorSettings {
     /// The least share of failed attempts that a healthy instance is allowed.
     pub failed_share_healthy: f64,
     /// How much more than healthy an ill instance fails.
     pub failed_share_excess: f64,
-    /// The least share of slow attempts that a healthy instance is allowed.
-    pub slow_share_healthy: f64,
-    /// How much more than healthy an ill instance is slow.
-    pub slow_share_excess: f64,
+    /// The share of slow attempts from which a window counts as slow.
+    pub slow_window_share: f64,
+    /// The probability of a slow window of a healthy instance.
+    pub slow_windows_healthy: f64,
+    /// The probability of a slow window of an ill instance.
+    pub slow_windows_ill: f64,
+    /// The probability of a window without any answer of a healthy instance.
+    pub silent_windows_healthy: f64,
     /// The accumulated log-likelihood ratio at which the instance counts as ill.
     pub threshold: f64,
 }
 
-/// Page's CUSUM of the log-likelihood ratio of "ill" against "healthy", for failures and slowness.
+/// Page's CUSUM of the log-likelihood ratio of "ill" against "healthy".
 ///
-/// The sums are reset at zero, so with independent attempts the mean number of attempts between
-/// two false alarms is at least the exponential of the threshold (Page, "Continuous inspection
-/// schemes", Biometrika 41, 1954; Lorden, Annals of Mathematical Statistics 42, 1971).
+/// Failures are accumulated attempt by attempt. Slowness is accumulated window by window, because
+/// latencies of neighbouring attempts depend on each other: a few long requests hold all slots of
+/// an instance for a moment. The sums are reset at zero, so with independent observations the mean
+/// number of them between two false alarms is at least the exponential of the threshold (Page,
+/// "Continuous inspection schemes", Biometrika 41, 1954; Lorden, Annals of Mathematical
+/// Statistics 42, 1971).
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     failed_sum: f64,
     slow_sum: f64,
+    window: Evidence,
+    window_from: Duration,
     /// Recent counts, decayed: attempts, failed, timed attempts, slow.
     recent: [f64; 4],
     recent_at: Duration,
@@ -43,7 +57,7 @@
 impl Detector {
     /// Returns whether the instance counts as ill.
     pub fn is_ill(&self, settings: &DetectorSettings) -> bool {
-        self.failed_sum >= settings.threshold || self.slow_sum >= settings.threshold
+        self.sum() >= settings.threshold
     }
 
     /// Returns the larger of the two sums.
@@ -64,7 +78,8 @@
 
 /// Changing.
 impl Detector {
-    /// Adds observations, against the shares that the service's other instances show.
+    /// Adds observations, against the shares of failed and slow attempts of the service's other
+    /// instances.
     pub fn observe(
         &mut self,
         evidence: &Evidence,
@@ -82,15 +97,16 @@
         for (kept, count) in self.recent.iter_mut().zip(counts) {
             *kept += f64::from(count);
         }
-        let failed_healthy = settings.failed_share_healthy.max(2.0 * baseline.0);
-        let failed = (evidence.good, evidence.failed);
-        accumulate(&mut self.failed_sum, failed, failed_healthy, settings.failed_share_excess);
-        let slow_healthy = settings.slow_share_healthy.max(2.0 * baseline.1);
-        let slow = (evidence.fast, evidence.slow);
-        accumulate(&mut self.slow_sum, slow, slow_healthy, settings.slow_share_excess);
+        self.add_failures(evidence, baseline.0, settings);
+        self.window.add(evidence);
+        let timed = self.window.fast + self.window.slow;
+        if now >= self.window_from + WINDOW && timed >= WINDOW_ATTEMPTS {
+            self.close_window(baseline.1, settings);
+            self.window_from = now;
+        }
         let cap = settings.threshold * 2.0;
-        self.failed_sum = self.failed_sum.min(cap);
-        self.slow_sum = self.slow_sum.min(cap);
+        self.failed_sum = self.failed_sum.clamp(0.0, cap);
+        self.slow_sum = self.slow_sum.clamp(0.0, cap);
     }
 
     /// Forgets everything, when the instance returns.
@@ -98,6 +114,39 @@
         *self = Self::default();
     }
 
+    /// Adds the log-likelihood ratio of good and failed attempts. Nothing is added while the whole
+    /// service fails so much that an ill instance could not be told apart.
+    fn add_failures(&mut self, evidence: &Evidence, baseline: f64, settings: &DetectorSettings) {
+        let healthy = settings.failed_share_healthy.max(2.0 * baseline);
+        let ill = healthy + settings.failed_share_excess;
+        if ill > SHARE_MAX {
+            self.failed_sum = 0.0;
+            return;
+        }
+        let per_good = ((1.0 - ill) / (1.0 - healthy)).ln();
+        let per_failed = (ill / healthy).ln();
+        self.failed_sum += f64::from(evidence.good) * per_good;
+        self.failed_sum += f64::from(evidence.failed) * per_failed;
+    }
+
+    /// Adds the log-likelihood ratio of a window. Nothing is added while the whole service is slow.
+    fn close_window(&mut self, baseline: f64, settings: &DetectorSettings) {
+        let window = std::mem::take(&mut self.window);
+        let share = f64::from(window.slow) / f64::from(window.fast + window.slow);
+        let bound = settings.slow_window_share + baseline;
+        if bound >= 1.0 {
+            self.slow_sum = 0.0;
+            return;
+        }
+        let (healthy, ill) = (settings.slow_windows_healthy, settings.slow_windows_ill);
+        let silent = window.good == 0 && window.fast == 0;
+        self.slow_sum += match (share >= bound, silent) {
+            (true, true) => (ill / settings.silent_windows_healthy).ln(),
+            (true, false) => (ill / healthy).ln(),
+            (false, _) => ((1.0 - ill) / (1.0 - healthy)).ln(),
+        };
+    }
+
     fn decay(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.recent_at).as_secs_f64();
         let factor = (-elapsed / SHARE_MEMORY.as_secs_f64()).exp();
@@ -105,17 +154,3 @@
         self.recent_at = now;
     }
 }
-
-/// Adds the log-likelihood ratio of `good` and `bad` observations. Nothing is added when the whole
-/// service is so bad that an ill instance could not be told apart.
-fn accumulate(sum: &mut f64, (good, bad): (u32, u32), healthy: f64, excess: f64) {
-    let ill = healthy + excess;
-    if ill > SHARE_MAX {
-        *sum = 0.0;
-        return;
-    }
-    let per_good = ((1.0 - ill) / (1.0 - healthy)).ln();
-    let per_bad = (ill / healthy).ln();
-    let added = f64::from(good) * per_good + f64::from(bad) * per_bad;
-    *sum = (*sum + added).max(0.0);
-}
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -17,5 +17,6 @@
 pub use evidence::{Evidence, InstanceEvidence, Scope, Verdict, VerdictPhase};
 pub(crate) use instance_view::InstanceView;
 pub(crate) use latency::LatencyHistogram;
+pub(crate) use service_health::Reporter;
 pub use service_health::ServiceHealth;
 pub(crate) use service_view::{Choice, ServiceView};
--- a/crates/core/src/health/service_health.rs
+++ b/crates/core/src/health/service_health.rs
@@ -5,13 +5,15 @@
 
 use super::service_view::floor_count;
 use super::{Detector, DetectorSettings, Evidence, InstanceEvidence, Scope, Verdict, VerdictPhase};
-use crate::{DataCentreId, InstanceId, Service};
+use crate::{DataCentreId, HostId, InstanceId, Service};
 
 const SETTINGS: DetectorSettings = DetectorSettings {
     failed_share_healthy: 0.02,
     failed_share_excess: 0.2,
-    slow_share_healthy: 0.1,
-    slow_share_excess: 0.4,
+    slow_window_share: 0.5,
+    slow_windows_healthy: 0.1,
+    slow_windows_ill: 0.7,
+    silent_windows_healthy: 0.01,
     threshold: 10.0,
 };
 const EJECT_FIRST: Duration = Duration::from_secs(2);
@@ -19,11 +21,17 @@
 /// How long an instance must stay in use before its ejection starts short again.
 const EJECT_MEMORY: Duration = Duration::from_secs(120);
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-const PROBES_TO_RETURN: u32 = 3;
+const PROBES_TO_RETURN: u32 = 6;
 const RETURN_TIME: Duration = Duration::from_secs(3);
 const RETURN_START_PERCENT: f64 = 10.0;
+/// How long a host's bad observation of an instance counts as its own word.
+const WORD_DURATION: Duration = Duration::from_secs(3);
+/// The hosts that must have observed an instance badly.
+const WITNESSES: usize = 2;
 /// How long a host keeps an ejection that is not renewed.
 pub(crate) const VERDICT_DURATION: Duration = Duration::from_secs(3);
+/// The sum from which a data centre's evidence supports an ejection from the whole fleet.
+const SUSPICIOUS_SUM: f64 = 2.0;
 /// How long a new instance may be slow.
 pub(crate) const COLD_TIME: Duration = Duration::from_secs(5);
 
@@ -39,9 +47,20 @@
     instances: BTreeMap<InstanceId, Watched>,
 }
 
+/// Who reports.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reporter<'a> {
+    pub(crate) host: HostId,
+    pub(crate) data_centre: &'a DataCentreId,
+}
+
 #[derive(Debug, Default)]
 struct Watched {
     seen_at: Duration,
+    /// The evidence of all hosts together.
+    pooled: Detector,
+    /// When each host last observed the instance badly.
+    witnesses: BTreeMap<(DataCentreId, HostId), Duration>,
     by_data_centre: BTreeMap<DataCentreId, Detector>,
     ejection: Option<Ejection>,
     ejections: u32,
@@ -72,7 +91,7 @@
     pub(crate) fn report(
         &mut self,
         service: &Service,
-        data_centre: &DataCentreId,
+        reporter: Reporter<'_>,
         instances: &[InstanceEvidence],
         applied: &[Verdict],
         now: Duration,
@@ -87,7 +106,7 @@
                 seen_at: if now > started_at + VERDICT_DURATION { now } else { Duration::ZERO },
                 ..Watched::default()
             });
-            watched.observe(data_centre, entry, baseline, now);
+            watched.observe(reporter, entry, baseline, now);
         }
         let active = |id: &InstanceId| service.instances.get(id).is_some_and(|i| i.is_active());
         self.instances.retain(|id, _| active(id));
@@ -144,7 +163,7 @@
                 .instances
                 .values()
                 .filter(|watched| watched.ejection.is_none())
-                .map(|watched| watched.mean_share(share))
+                .map(|watched| share(&watched.pooled))
                 .collect();
             shares.sort_by(f64::total_cmp);
             shares.get(shares.len() / 2).copied().unwrap_or(0.0)
@@ -192,7 +211,7 @@
 
     fn observe(
         &mut self,
-        data_centre: &DataCentreId,
+        reporter: Reporter<'_>,
         entry: &InstanceEvidence,
         baseline: (f64, f64),
         now: Duration,
@@ -205,42 +224,50 @@
             ejection.note_probes(entry);
             if ejection.may_return(now) {
                 ejection.returning_since = Some(now);
-                self.by_data_centre.clear();
+                self.forget_evidence();
             }
+        }
+        if let Some(ejection) = &self.ejection {
             if ejection.returning_since.is_none() && ejection.scope == Scope::Fleet {
                 return;
             }
         }
-        let detector = self.by_data_centre.entry(data_centre.clone()).or_default();
+        if attempts.failed > 0 || attempts.slow > 0 {
+            self.witnesses.insert((reporter.data_centre.clone(), reporter.host), now);
+        }
+        self.witnesses.retain(|_, at| now < *at + WORD_DURATION);
+        let detector = self.by_data_centre.entry(reporter.data_centre.clone()).or_default();
         detector.observe(&attempts, baseline, &SETTINGS, now);
+        self.pooled.observe(&attempts, baseline, &SETTINGS, now);
+    }
+
+    fn forget_evidence(&mut self) {
+        self.by_data_centre.clear();
+        self.witnesses.clear();
+        self.pooled.reset();
     }
 
     /// Returns the strength and the scope of the evidence, when it asks for an ejection.
     fn suspicion(&self) -> Option<(f64, Scope)> {
-        let ill: Vec<(&DataCentreId, &Detector)> =
-            self.by_data_centre.iter().filter(|(_, d)| d.is_ill(&SETTINGS)).collect();
-        let sum: f64 = self.by_data_centre.values().map(Detector::sum).sum();
-        let scope = match ill.as_slice() {
-            [] => None,
-            [(id, _)] if self.is_fine_elsewhere(id) => Some(Scope::DataCentre((*id).clone())),
-            _ => Some(Scope::Fleet),
-        }?;
+        let scope = self.suspected_scope()?;
         let returning = self.ejection.as_ref().is_some_and(|e| e.returning_since.is_some());
         let wider = match &self.ejection {
             Some(ejection) => ejection.scope != scope && scope == Scope::Fleet,
             None => true,
         };
-        (returning || wider).then_some((sum, scope))
-    }
-
-    fn is_fine_elsewhere(&self, ill: &DataCentreId) -> bool {
-        let others = self.by_data_centre.iter().filter(|(id, _)| *id != ill);
-        others.map(|(_, detector)| detector.sum()).fold(0.0, f64::max) < SETTINGS.threshold / 2.0
+        (returning || wider).then_some((self.pooled.sum(), scope))
     }
 
-    fn mean_share(&self, share: fn(&Detector) -> f64) -> f64 {
-        let count = self.by_data_centre.len().max(1) as f64;
-        self.by_data_centre.values().map(share).sum::<f64>() / count
+    /// An ejection from the whole fleet needs bad observations in more than one data centre.
+    fn suspected_scope(&self) -> Option<Scope> {
+        let suspicious = self.by_data_centre.values().filter(|d| d.sum() >= SUSPICIOUS_SUM).count();
+        if self.pooled.is_ill(&SETTINGS) && suspicious > 1 && self.witnesses.len() >= WITNESSES {
+            return Some(Scope::Fleet);
+        }
+        let ill = self.by_data_centre.iter().find(|(_, detector)| detector.is_ill(&SETTINGS));
+        let (id, _) = ill?;
+        let here = self.witnesses.keys().filter(|(data_centre, _)| data_centre == id).count();
+        (here >= WITNESSES).then(|| Scope::DataCentre(id.clone()))
     }
 
     fn eject(&mut self, scope: Scope, now: Duration) {
@@ -256,7 +283,7 @@
             probed_at: now,
             returning_since: None,
         });
-        self.by_data_centre.clear();
+        self.forget_evidence();
     }
 
     fn finish_return(&mut self, now: Duration) {
--- a/crates/core/src/host/peers.rs
+++ b/crates/core/src/host/peers.rs
@@ -6,7 +6,7 @@
 use super::{Host, PeerAddress};
 use crate::claim::{ClaimKey, ClaimRecord, ClaimVerdict};
 use crate::configuration::ChangeSet;
-use crate::health::{InstanceEvidence, Verdict};
+use crate::health::{InstanceEvidence, Reporter, Verdict};
 use crate::lease::{majority, shard_of};
 use crate::message::{Draw, Grant};
 use crate::{
@@ -297,9 +297,10 @@
         };
         let hosts = self.configuration.declaration.hosts();
         let Some(sender) = hosts.get(&from).map(|host| host.data_centre.clone()) else { return };
+        let reporter = Reporter { host: from, data_centre: &sender };
         let context = Self::health_context(&self.identity, &self.configuration, self.now);
         let verdicts =
-            self.health.judge(&context, held_since, &service, &sender, instances, applied);
+            self.health.judge(&context, held_since, &service, reporter, instances, applied);
         self.out.send(from, Message::Verdicts { service, sent_at_us, verdicts });
     }
 
