--- a/crates/core/src/attempt/request.rs
+++ b/crates/core/src/attempt/request.rs
@@ -22,6 +22,8 @@
     pub(crate) attempts_made: u32,
     /// Whether a byte may have reached an upstream.
     pub(crate) sent: bool,
+    /// Until when the claim may be tried.
+    pub(crate) claim_until: Duration,
     /// Whether the idempotency key is claimed.
     pub(crate) claimed: bool,
     pub(crate) caller_gone: bool,
--- a/crates/core/src/claim/book.rs
+++ b/crates/core/src/claim/book.rs
@@ -39,6 +39,8 @@
     guarded: bool,
     rival: Option<ClaimRecord>,
     answered: BTreeSet<HostId>,
+    /// Voters that did not know all claims when they were asked.
+    incomplete: BTreeSet<HostId>,
     table: TableConsent,
     decided: bool,
 }
@@ -86,6 +88,7 @@
             guarded: false,
             rival: None,
             answered: BTreeSet::new(),
+            incomplete: BTreeSet::new(),
             table: TableConsent::Asked,
             decided: false,
         };
@@ -114,13 +117,16 @@
             return ClaimDecision::Pending;
         };
         pending.answered.insert(from);
+        pending.incomplete.remove(&from);
         match verdict {
             ClaimVerdict::Recorded { guarded } => {
                 pending.recorded.insert(from);
                 pending.guarded |= *guarded;
             }
             ClaimVerdict::Exists(record) => pending.note_rival(record),
-            ClaimVerdict::Incomplete => {}
+            ClaimVerdict::Incomplete => {
+                pending.incomplete.insert(from);
+            }
         }
         self.decide(request, false)
     }
@@ -147,6 +153,39 @@
         self.decide(request, false)
     }
 
+    /// Asks the voters again that did not know all claims or did not answer; returns whether there
+    /// are any.
+    pub(crate) fn ask_again(
+        &mut self,
+        context: &ClaimContext,
+        request: RequestId,
+        out: &mut Outbox,
+    ) -> ClaimDecision {
+        let Some(pending) = self.pending.get(&request) else { return ClaimDecision::Pending };
+        let (key, record) = (pending.key.clone(), pending.record.clone());
+        let due = |voter: &&HostId| {
+            pending.incomplete.contains(*voter) || !pending.answered.contains(*voter)
+        };
+        let voters: Vec<HostId> = pending.voters.iter().filter(due).copied().collect();
+        let mut decision = ClaimDecision::Pending;
+        for voter in voters {
+            if voter == context.me {
+                let verdict = self.table.claim(&key, &record, context.now);
+                decision = self.on_vote(context.me, &key, request, &verdict);
+            } else {
+                out.send(voter, Message::Claim { key: key.clone(), record: record.clone() });
+            }
+        }
+        decision
+    }
+
+    /// Returns whether neither a majority nor a rival is known yet.
+    pub(crate) fn lacks_votes(&self, request: RequestId) -> bool {
+        self.pending.get(&request).is_some_and(|pending| {
+            pending.rival.is_none() && pending.recorded.len() < majority(pending.voters.len())
+        })
+    }
+
     /// Ends the wait for votes.
     pub(crate) fn on_timeout(&mut self, request: RequestId) -> ClaimDecision {
         self.decide(request, true)
@@ -231,7 +270,8 @@
         if self.recorded.len() >= majority(self.voters.len()) {
             return self.backed_decision(last);
         }
-        let complete = last || self.answered.len() == self.voters.len();
+        let definite = self.answered.len() - self.incomplete.len();
+        let complete = last || definite == self.voters.len();
         match &self.rival {
             _ if !complete => ClaimDecision::Pending,
             Some(rival) if rival.digest != self.record.digest => {
--- a/crates/core/src/claim/table.rs
+++ b/crates/core/src/claim/table.rs
@@ -94,6 +94,11 @@
         self.shards.values().map(|shard| shard.claims.len()).sum()
     }
 
+    /// Returns whether this voter knows all claims of its shards.
+    pub fn is_ready(&self) -> bool {
+        self.shards.values().all(|shard| shard.complete && !shard.guarded)
+    }
+
     /// Returns whether no claim is kept.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/core/src/host/requests.rs
+++ b/crates/core/src/host/requests.rs
@@ -71,6 +71,7 @@
             tried: Vec::new(),
             attempts_made: 0,
             sent: false,
+            claim_until: Duration::ZERO,
             claimed: false,
             caller_gone: false,
             in_flight: false,
@@ -398,8 +399,13 @@
         if kind == FailureKind::Timeout {
             self.out.push(Effect::DropConnections { address: attempt.address });
         }
-        let may_repeat = active.idempotent || !active.sent;
-        if may_repeat && self.try_again(request) {
+        let (idempotent, untouched) = (active.idempotent, !active.sent);
+        let repeated = match (untouched, idempotent) {
+            (true, _) => self.may_try_again(request) && self.launch(request),
+            (false, true) => self.try_again(request),
+            (false, false) => false,
+        };
+        if repeated {
             return;
         }
         let Some(active) = self.requests.get(&request) else { return };
@@ -418,18 +424,22 @@
 
     /// Starts another attempt when the profile, the budget and the deadline allow it.
     fn try_again(&mut self, request: RequestId) -> bool {
-        let Some(active) = self.requests.get(&request) else { return false };
-        if active.attempts_made >= active.profile.attempts
-            || active.caller_gone
-            || self.now >= active.deadline_at
-        {
+        if !self.may_try_again(request) {
             return false;
         }
+        let Some(active) = self.requests.get(&request) else { return false };
         let service = active.service.clone();
-        if !self.health.view(&service).spend_retry() {
-            return false;
-        }
-        self.launch(request)
+        self.health.view(&service).spend_retry() && self.launch(request)
+    }
+
+    /// Returns whether the profile and the deadline allow another attempt. An attempt that sent
+    /// nothing cost the service nothing, so its repeat needs no budget.
+    fn may_try_again(&self, request: RequestId) -> bool {
+        self.requests.get(&request).is_some_and(|active| {
+            active.attempts_made < active.profile.attempts
+                && !active.caller_gone
+                && self.now < active.deadline_at
+        })
     }
 
     /// Counts an attempt that exceeds the usual tail, and starts a hedge.
--- a/crates/core/src/host/status.rs
+++ b/crates/core/src/host/status.rs
@@ -49,6 +49,7 @@
             "shards_held": self.leases.held().count(),
             "requests_in_flight": self.requests.len(),
             "claims_kept": self.claims.table.len(),
+            "claims_ready": self.claims.table.is_ready(),
             "services": services,
         })
     }
--- a/crates/core/src/host/step.rs
+++ b/crates/core/src/host/step.rs
@@ -18,7 +18,7 @@
             self.timers.arm(self.now, Timer::Round);
         }
         self.dispatch(event);
-        while let Some(timer) = self.timers.pop(self.now) {
+        for timer in self.timers.take_due(self.now) {
             self.on_timer(timer);
         }
         self.collect()
--- a/crates/core/src/limit/book.rs
+++ b/crates/core/src/limit/book.rs
@@ -256,7 +256,7 @@
             sequence: draw.sequence,
             sent_at_us: draw.sent_at_us,
             tokens: given.tokens,
-            retry_after_ms: u32::try_from(given.retry_after.as_millis()).unwrap_or(u32::MAX),
+            retry_after_ms: ceil_millis(given.retry_after),
             confirm: given.confirm,
         })
     }
@@ -366,6 +366,11 @@
     }
 }
 
+/// Rounds up, so that a retry never comes before its time.
+fn ceil_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 impl Account {
     /// Spends tokens on the requests that wait, first come first served.
     fn serve(&mut self, now: Duration) -> Settled {
--- a/crates/core/src/timer.rs
+++ b/crates/core/src/timer.rs
@@ -41,12 +41,14 @@
         self.due.remove(&(at, timer));
     }
 
-    /// Takes the earliest timer that is due.
-    pub fn pop(&mut self, now: Duration) -> Option<Timer> {
-        if self.due.first()?.0 > now {
-            return None;
+    /// Takes all timers that are due, earliest first. Timers that their handlers arm for the same
+    /// moment wait for the next call, so that a step always ends.
+    pub fn take_due(&mut self, now: Duration) -> Vec<Timer> {
+        let mut due = Vec::new();
+        while self.due.first().is_some_and(|(at, _)| *at <= now) {
+            due.extend(self.due.pop_first().map(|(_, timer)| timer));
         }
-        self.due.pop_first().map(|(_, timer)| timer)
+        due
     }
 
     /// Returns the time of the earliest timer.
--- a/crates/ebonytack/src/upstream/attempt.rs
+++ b/crates/ebonytack/src/upstream/attempt.rs
@@ -7,7 +7,7 @@
 use actix_http::StatusCode;
 use actix_http::error::PayloadError;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use bytes::BytesMut;
 use ebonytack_core::{AttemptOutcome, FailureKind, StoredAnswer};
 use futures_util::stream::{Stream, StreamExt, unfold};
@@ -117,8 +117,14 @@
 }
 
 /// Tells whether a byte may have reached the upstream, and how the attempt failed.
+///
+/// The client reports a connection that broke before the answer's head as a failed connect; only
+/// those that never came about are free of sent bytes.
 fn classify(error: SendRequestError) -> AttemptError {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            AttemptError { kind: FailureKind::Broken, sent: true }
+        }
         SendRequestError::Url(_) | SendRequestError::Connect(_) => {
             AttemptError { kind: FailureKind::Connect, sent: false }
         }
