fix(core): keep tokens conserved and ticks coming

Cause 1, found by a property test over message orders: the refill ran after a host's report had freed room, so the time during which the bucket was full counted as refill; a late return brought lapsed tokens back; a late report counted lapsed tokens as held. Cause 2, found by slow tests: when an event fired the timer that a tick was asked for, the tick asked for no further one; a host with no other events then stood still, and its callers waited up to 20 s. Cause 3: with two of four instances failing, the upper median took a failing one for healthy, so neither was avoided; it is the lower median now. Ruled out for cause 2: lost wakers in the runtime; the trace showed the missing effect.

--- a/crates/core/src/health/book.rs
+++ b/crates/core/src/health/book.rs
@@ -149,7 +149,8 @@
         let mut slow: Vec<f64> = view.instances.values().map(|i| i.detector.slow_share()).collect();
         failed.sort_by(f64::total_cmp);
         slow.sort_by(f64::total_cmp);
-        let median = |shares: &[f64]| shares.get(count / 2).copied().unwrap_or(0.0);
+        let median =
+            |shares: &[f64]| shares.get(count.saturating_sub(1) / 2).copied().unwrap_or(0.0);
         (median(&failed), median(&slow))
     }
 }
--- a/crates/core/src/health/service_health.rs
+++ b/crates/core/src/health/service_health.rs
@@ -166,7 +166,7 @@
                 .map(|watched| share(&watched.pooled))
                 .collect();
             shares.sort_by(f64::total_cmp);
-            shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+            shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
         };
         (median(Detector::failed_share), median(Detector::slow_share))
     }
--- a/crates/core/src/host/state.rs
+++ b/crates/core/src/host/state.rs
@@ -43,6 +43,7 @@
     pub(super) claims_synced_at: Duration,
     pub(super) stopping: bool,
     pub(super) started: bool,
+    /// The tick that the runtime was asked for and has not delivered.
     pub(super) next_wake: Option<Duration>,
     pub(super) reported_revision: Revision,
 }
--- a/crates/core/src/host/step.rs
+++ b/crates/core/src/host/step.rs
@@ -37,7 +37,7 @@
             Event::Table { call, answer } => self.on_table(call, answer),
             Event::HostList { hosts } => self.on_host_list(hosts),
             Event::Operator { call, request } => self.on_operator(call, request),
-            Event::Tick => {}
+            Event::Tick => self.next_wake = None,
             Event::Stop => self.on_stop(),
         }
     }
--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -40,6 +40,8 @@
     held: Tokens,
     /// Grants that the host has not confirmed.
     unconfirmed: VecDeque<(u64, Tokens)>,
+    /// Whether tokens lapsed since the last draw, so that returned ones may be among them.
+    lapsed: bool,
     /// Tokens that the host asked for in vain, and when.
     unmet: (u32, Duration),
 }
@@ -102,9 +104,11 @@
         if now < self.usable_from {
             return Some(Given { tokens: 0, retry_after: self.usable_from - now, confirm: false });
         }
+        // Tokens that were out until now kept the bucket from filling up, so the refill comes first.
+        self.refill(now);
         let credit = self.settle(from, incarnation, draw, now)?;
         self.level += f64::from(credit);
-        self.refill(now);
+        self.cap();
         let given = self.choose(draw);
         self.level -= f64::from(given);
         self.record(from, draw, given, now);
@@ -145,10 +149,13 @@
         let before = share.outstanding();
         share.last_sequence = draw.sequence;
         share.unconfirmed.retain(|(sequence, _)| *sequence > draw.last_grant);
+        let unconfirmed: u32 = share.unconfirmed.iter().map(|(_, tokens)| tokens.count).sum();
         let lapse_at = now + GRANT_DURATION + GRANT_MARGIN;
-        share.held = Tokens { count: draw.held.min(before), lapse_at };
+        share.held = Tokens { count: draw.held.min(before - unconfirmed), lapse_at };
         let after = share.outstanding();
-        Some(draw.returned.min(before.saturating_sub(after)))
+        // A late return must not bring lapsed tokens back, since the refill has replaced them.
+        let lapsed = std::mem::take(&mut share.lapsed);
+        Some(if lapsed { 0 } else { draw.returned.min(before.saturating_sub(after)) })
     }
 
     /// Starts a share for a new incarnation; `None` when the draw is from a replaced process.
@@ -163,6 +170,7 @@
             last_sequence: 0,
             held: Tokens::default(),
             unconfirmed: VecDeque::new(),
+            lapsed: false,
             unmet: (0, Duration::ZERO),
         };
         if let Some(old) = self.shares.insert(from, fresh) {
@@ -175,10 +183,12 @@
     fn expire(&mut self, now: Duration) {
         self.orphaned.retain(|tokens| tokens.lapse_at > now);
         for share in self.shares.values_mut() {
+            let before = share.outstanding();
             share.unconfirmed.retain(|(_, tokens)| tokens.lapse_at > now);
             if share.held.lapse_at <= now {
                 share.held.count = 0;
             }
+            share.lapsed |= share.outstanding() < before;
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/suite/host.rs
@@ -0,0 +1,83 @@
+//! Whole steps of a host.
+
+use ebonytack_core::{
+    AttemptOutcome, Effect, Event, FailureKind, RefusalReason, RunState, TraceHeader, TraceRecord,
+    replay,
+};
+
+use crate::support::{lookup, ms, running_host};
+
+#[test]
+fn a_tick_always_asks_for_the_next_one() {
+    let mut host = running_host();
+    // An event between two ticks fires the timer for which the tick was meant.
+    host.step(ms(4_200), Event::HostList { hosts: Vec::new() });
+    let effects = host.step(ms(4_201), Event::Tick);
+    let wakes = effects.iter().any(|effect| matches!(effect, Effect::WakeAt(_)));
+    assert!(wakes, "{effects:?}");
+}
+
+#[test]
+fn a_lookup_is_forwarded_and_delivered() {
+    let mut host = running_host();
+    let effects = host.step(ms(4_001), Event::Request { request: 1, head: lookup() });
+    let attempt = effects.iter().find_map(|effect| match effect {
+        Effect::Forward { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt = attempt.expect("a forward");
+    let outcome =
+        AttemptOutcome::Answered { status: 200, shed: false, latency: ms(5), stored: None };
+    let effects = host.step(ms(4_006), Event::Attempt { attempt, outcome });
+    assert!(effects.contains(&Effect::Deliver { request: 1, attempt }), "{effects:?}");
+}
+
+#[test]
+fn an_order_that_may_have_been_sent_is_not_sent_again() {
+    let mut host = running_host();
+    let mut head = lookup();
+    head.method = "POST".to_owned();
+    let effects = host.step(ms(4_001), Event::Request { request: 1, head });
+    let attempt = effects.iter().find_map(|effect| match effect {
+        Effect::Forward { attempt, fresh_connection: true, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt = attempt.expect("a forward over a fresh connection");
+    let outcome = AttemptOutcome::Failed { kind: FailureKind::Broken, sent: true };
+    let effects = host.step(ms(4_006), Event::Attempt { attempt, outcome });
+    let refusal = effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(refusal.clone()),
+        _ => None,
+    });
+    let refusal = refusal.expect("a refusal");
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::UpstreamFailed, RunState::Unknown));
+}
+
+#[test]
+fn a_host_that_was_paused_serves_no_key_before_it_knows_more() {
+    let mut host = running_host();
+    let effects = host.step(ms(60_000), Event::Request { request: 1, head: lookup() });
+    let stale = effects.iter().any(|effect| {
+        matches!(effect, Effect::Refuse { refusal, .. } if refusal.reason == RefusalReason::Stale)
+    });
+    assert!(stale, "{effects:?}");
+}
+
+#[test]
+fn a_recorded_trace_replays_and_a_changed_one_does_not() {
+    let identity = running_host().identity().clone();
+    let mut host = ebonytack_core::Host::new(identity.clone());
+    let header = serde_json::to_string(&TraceHeader { identity }).expect("JSON");
+    let mut lines = vec![header];
+    for step in 0..200 {
+        let (at, event) = (ms(step * 25), Event::Tick);
+        let effects = host.step(at, event.clone());
+        let record = TraceRecord { at, event, effects };
+        lines.push(serde_json::to_string(&record).expect("JSON"));
+    }
+    assert_eq!(replay(lines.iter().map(String::as_str)).expect("replays"), 200);
+    let changed = lines[40].replace("\"tick\"", "\"stop\"");
+    assert_ne!(changed, lines[40]);
+    lines[40] = changed;
+    assert!(replay(lines.iter().map(String::as_str)).is_err());
+}
