--- a/crates/core/src/lease/book.rs
+++ b/crates/core/src/lease/book.rs
@@ -36,6 +36,8 @@
     holdings: BTreeMap<ShardId, Holding>,
     wanted: BTreeSet<ShardId>,
     next_lease: u64,
+    /// Invariant: no holding lapses before this time.
+    next_lapse_at: Duration,
     pub(crate) voter_map: VoterMap,
 }
 
@@ -48,6 +50,7 @@
             holdings: BTreeMap::new(),
             wanted: BTreeSet::new(),
             next_lease: 1,
+            next_lapse_at: Duration::MAX,
             voter_map: VoterMap::default(),
         }
     }
@@ -81,6 +84,9 @@
 
     /// Drops the holdings that lost their majority, and returns their shards.
     pub(crate) fn lapse(&mut self, now: Duration) -> Vec<ShardId> {
+        if now < self.next_lapse_at {
+            return Vec::new();
+        }
         let lapsed =
             |holding: &Holding| holding.held_since.is_some() && holding.valid_until() <= now;
         let shards: Vec<ShardId> =
@@ -89,6 +95,8 @@
             self.holdings.remove(shard);
             self.promises.remove(shard);
         }
+        let held = self.holdings.values().filter(|holding| holding.held_since.is_some());
+        self.next_lapse_at = held.map(Holding::valid_until).min().unwrap_or(Duration::MAX);
         shards
     }
 
@@ -158,6 +166,7 @@
         let gained = holding.held_since.is_none() && holding.valid_until() > now;
         if gained {
             holding.held_since = Some(now);
+            self.next_lapse_at = self.next_lapse_at.min(holding.valid_until());
         }
         gained
     }
--- a/crates/testbed/src/measure/bucket_check.rs
+++ b/crates/testbed/src/measure/bucket_check.rs
@@ -49,6 +49,23 @@
     refused
 }
 
+/// Returns the share of requests without a good answer, among those that an ideal bucket admits.
+pub(super) fn unserved_share(samples: &[Sample], customer: &Customer) -> f64 {
+    let mut bucket =
+        IdealBucket::new(f64::from(customer.rate_per_second), f64::from(customer.burst));
+    let mut sorted: Vec<&Sample> = samples.iter().collect();
+    sorted.sort_by_key(|sample| sample.sent_at);
+    let mut within = 0;
+    let mut unserved = 0;
+    for sample in sorted {
+        if bucket.take(sample.sent_at) {
+            within += 1;
+            unserved += usize::from(!sample.reply.is_good());
+        }
+    }
+    f64::from(unserved as u32) / f64::from(within.max(1))
+}
+
 /// Counts refusals when rate and burst are divided evenly over the hosts.
 pub(super) fn even_split_refusals(samples: &[Sample], customer: &Customer, hosts: u32) -> usize {
     let rate = f64::from(customer.rate_per_second) / f64::from(hosts);
--- a/crates/testbed/src/measure/mod.rs
+++ b/crates/testbed/src/measure/mod.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod bucket_check;
 mod co_op;
+mod fairness;
 mod gray;
 mod healthy;
 mod limits;
@@ -10,6 +11,7 @@
 mod overhead;
 mod report;
 mod scenario;
+mod slopes;
 
 pub use report::{Figure, Report};
 pub use scenario::Scenario;
