feat(ebonyctl): operate a fleet; measure changes, orders and recovery

Cause: operators had no tool, and keys, configuration, orders and recovery had no figures at 44 hosts. Ruled out: a tagged JSON form for answers to operators; its buffering cannot read maps with integer keys, so each declaration came back as an error.

--- a/crates/core/src/health/service_health.rs
+++ b/crates/core/src/health/service_health.rs
@@ -227,10 +227,11 @@
                 self.forget_evidence();
             }
         }
-        if let Some(ejection) = &self.ejection {
-            if ejection.returning_since.is_none() && ejection.scope == Scope::Fleet {
-                return;
-            }
+        if let Some(ejection) = &self.ejection
+            && ejection.returning_since.is_none()
+            && ejection.scope == Scope::Fleet
+        {
+            return;
         }
         if attempts.failed > 0 || attempts.slow > 0 {
             self.witnesses.insert((reporter.data_centre.clone(), reporter.host), now);
--- a/crates/core/src/operator.rs
+++ b/crates/core/src/operator.rs
@@ -48,7 +48,7 @@
 
 /// The answer to an operator.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case", tag = "answer")]
+#[serde(rename_all = "kebab-case")]
 pub enum OperatorReply {
     /// The change is kept for good.
     Accepted {
--- a/crates/core/tests/suite/declaration.rs
+++ b/crates/core/tests/suite/declaration.rs
@@ -1,6 +1,8 @@
 //! Checks of declarations, and the changes that lead from one to another.
 
-use ebonytack_core::{Declaration, ErrorKind, Operation, RawDeclaration, difference};
+use ebonytack_core::{
+    Declaration, ErrorKind, Operation, OperatorReply, RawDeclaration, difference,
+};
 
 use crate::support::declaration;
 
@@ -56,3 +58,10 @@
     assert_eq!(open("/catalogue/specialties", "GET"), Some(false));
     assert_eq!(open("/catalogues", "GET"), None);
 }
+
+#[test]
+fn answers_to_operators_survive_their_json_form() {
+    let reply = OperatorReply::Declaration { revision: 3, declaration: Box::new(declaration()) };
+    let json = serde_json::to_string(&reply).expect("JSON");
+    assert_eq!(serde_json::from_str::<OperatorReply>(&json).expect("the same"), reply);
+}
--- /dev/null
+++ b/crates/ebonyctl/src/command/change.rs
@@ -0,0 +1,87 @@
+//! Making changes.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use ebonytack_core::{
+    InstanceState, Operation, OperatorReply, OperatorRequest, RawDeclaration, Revision,
+};
+use serde_json::json;
+
+use super::Context;
+use crate::exit::Failure;
+
+/// Makes a change that was worked out from the revision `based_on`.
+pub(super) async fn make(
+    context: &Context,
+    based_on: Revision,
+    operations: Vec<Operation>,
+) -> Result<(), Failure> {
+    let request = OperatorRequest::Apply {
+        change_id: context.change_id(),
+        author: author(),
+        made_at_unix_ms: now_unix_ms(),
+        based_on: Some(based_on),
+        operations,
+    };
+    match context.client.ask(&request).await? {
+        OperatorReply::Accepted { revision, confirmed } => {
+            if !context.print_json(&json!({"revision": revision, "confirmed": confirmed})) {
+                let spread = if confirmed { "in force" } else { "accepted, not confirmed yet" };
+                println!("Revision {revision} is {spread}.");
+            }
+            Ok(())
+        }
+        other => Err(Failure::from_reply(other)),
+    }
+}
+
+/// Drains or undrains a host or an instance.
+pub(super) async fn drain(context: &Context, target: &str, drain: bool) -> Result<(), Failure> {
+    let (revision, declaration) = context.client.declaration().await?;
+    let operation = drain_operation(&declaration, target, drain)?;
+    make(context, revision, vec![operation]).await
+}
+
+fn drain_operation(
+    declaration: &RawDeclaration,
+    target: &str,
+    drain: bool,
+) -> Result<Operation, Failure> {
+    let unknown = || Failure::Input(format!("{target:?} is not a declared host or instance"));
+    match target.split('/').collect::<Vec<_>>().as_slice() {
+        ["host", number] => {
+            let id = number.parse().map_err(|_| unknown())?;
+            let mut host = declaration.hosts.get(&id).cloned().ok_or_else(unknown)?;
+            host.drained = drain;
+            Ok(Operation::Host { id, value: Some(host) })
+        }
+        ["instance", service, instance] => Ok(Operation::InstanceState {
+            service: (*service).to_owned(),
+            instance: (*instance).to_owned(),
+            value: if drain { InstanceState::Draining } else { InstanceState::Active },
+        }),
+        _ => Err(unknown()),
+    }
+}
+
+/// Returns the user's name for the audit trail.
+pub(super) fn author() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
+}
+
+/// Returns the time in milliseconds since 1970.
+pub(super) fn now_unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Context {
+    /// Returns the id of a repeated change, or a new one.
+    pub(super) fn change_id(&self) -> String {
+        let new = || {
+            let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            format!("{}-{}-{}", author(), std::process::id(), nanos.as_nanos())
+        };
+        self.change_id.clone().unwrap_or_else(new)
+    }
+}
--- /dev/null
+++ b/crates/ebonyctl/src/command/key.rs
@@ -0,0 +1,76 @@
+//! Keys.
+
+use std::io::Read;
+
+use clap::ArgMatches;
+use ebonytack_core::{KeyEntry, KeyHash, Operation, OperatorReply, OperatorRequest};
+use serde_json::json;
+
+use super::{Context, change, text};
+use crate::exit::Failure;
+use crate::table;
+
+const KEY_BYTES: usize = 24;
+
+pub(super) async fn run(context: &Context, arguments: &ArgMatches) -> Result<(), Failure> {
+    match arguments.subcommand() {
+        Some(("issue", arguments)) => issue(context, arguments).await,
+        Some(("withdraw", arguments)) => withdraw(context, text(arguments, "hash")).await,
+        Some((_, arguments)) => list(context, text(arguments, "customer")).await,
+        None => Err(Failure::Input("a command is missing".to_owned())),
+    }
+}
+
+async fn issue(context: &Context, arguments: &ArgMatches) -> Result<(), Failure> {
+    let key = new_key()?;
+    let (revision, _) = context.client.declaration().await?;
+    let entry = KeyEntry {
+        customer: text(arguments, "customer").to_owned(),
+        label: text(arguments, "label").to_owned(),
+    };
+    let id = KeyHash::of(key.as_bytes());
+    change::make(context, revision, vec![Operation::Key { id, value: Some(entry) }]).await?;
+    println!("key  {key}\nhash {id}\nThe key is not shown again.");
+    Ok(())
+}
+
+async fn withdraw(context: &Context, hash: &str) -> Result<(), Failure> {
+    let key =
+        KeyHash::try_from(hash.to_owned()).map_err(|error| Failure::Input(error.to_string()))?;
+    let request = OperatorRequest::WithdrawKey {
+        change_id: context.change_id(),
+        author: change::author(),
+        made_at_unix_ms: change::now_unix_ms(),
+        key,
+    };
+    match context.client.ask(&request).await? {
+        OperatorReply::Withdrawn => {
+            println!("The key is withdrawn.");
+            Ok(())
+        }
+        other => Err(Failure::from_reply(other)),
+    }
+}
+
+async fn list(context: &Context, customer: &str) -> Result<(), Failure> {
+    let (_, declaration) = context.client.declaration().await?;
+    let wanted = |entry: &KeyEntry| customer.is_empty() || entry.customer == customer;
+    let keys: Vec<_> = declaration.keys.iter().filter(|(_, entry)| wanted(entry)).collect();
+    if context.print_json(&json!(keys)) {
+        return Ok(());
+    }
+    let row = |(hash, entry): &(&KeyHash, &KeyEntry)| {
+        vec![entry.customer.clone(), entry.label.clone(), hash.to_string()]
+    };
+    table::print(&["customer", "label", "hash"], &keys.iter().map(row).collect::<Vec<_>>());
+    Ok(())
+}
+
+/// Returns a new random key as hexadecimal digits.
+fn new_key() -> Result<String, Failure> {
+    let fail = |error: std::io::Error| Failure::Input(format!("no randomness: {error}"));
+    let mut bytes = [0; KEY_BYTES];
+    let mut source = std::fs::File::open("/dev/urandom").map_err(fail)?;
+    source.read_exact(&mut bytes).map_err(fail)?;
+    Ok(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- /dev/null
+++ b/crates/ebonyctl/src/command/profile.rs
@@ -0,0 +1,60 @@
+//! Profiles.
+
+use std::collections::BTreeMap;
+
+use clap::ArgMatches;
+use ebonytack_core::{Operation, Profile, RawDeclaration};
+use serde_json::{Value, json};
+
+use super::{Context, change, text};
+use crate::exit::Failure;
+use crate::table;
+
+pub(super) async fn run(context: &Context, arguments: &ArgMatches) -> Result<(), Failure> {
+    let (revision, declaration) = context.client.declaration().await?;
+    match arguments.subcommand() {
+        Some(("show", arguments)) => {
+            let profile = find(&declaration, text(arguments, "name"))?;
+            println!("{:#}", json!(profile));
+            Ok(())
+        }
+        Some(("edit", arguments)) => {
+            let name = text(arguments, "name");
+            let profile = find(&declaration, name)?;
+            let sets = arguments.get_many::<String>("set").unwrap_or_default();
+            let value = Some(edit(&profile, sets)?);
+            let operation = Operation::Profile { id: name.to_owned(), value };
+            change::make(context, revision, vec![operation]).await
+        }
+        _ => list(context, &declaration),
+    }
+}
+
+fn list(context: &Context, declaration: &RawDeclaration) -> Result<(), Failure> {
+    let mut names: BTreeMap<&str, &str> =
+        Profile::built_in_names().into_iter().map(|name| (name, "built in")).collect();
+    names.extend(declaration.profiles.keys().map(|name| (name.as_str(), "declared")));
+    if !context.print_json(&json!(names)) {
+        let row = |(name, origin): (&&str, &&str)| vec![(*name).to_owned(), (*origin).to_owned()];
+        table::print(&["profile", "origin"], &names.iter().map(row).collect::<Vec<_>>());
+    }
+    Ok(())
+}
+
+fn find(declaration: &RawDeclaration, name: &str) -> Result<Profile, Failure> {
+    let found = declaration.profiles.get(name).cloned().or_else(|| Profile::built_in(name));
+    found.ok_or_else(|| Failure::Input(format!("{name:?} is not a profile")))
+}
+
+/// Sets fields given as `FIELD=VALUE`, values in JSON.
+fn edit<'a>(profile: &Profile, sets: impl Iterator<Item = &'a String>) -> Result<Profile, Failure> {
+    let mut json = json!(profile);
+    for set in sets {
+        let refuse = |why: &str| Failure::Input(format!("--set {set}: {why}"));
+        let (field, value) =
+            set.split_once('=').ok_or_else(|| refuse("FIELD=VALUE is expected"))?;
+        let value: Value = serde_json::from_str(value).map_err(|e| refuse(&e.to_string()))?;
+        json[field] = value;
+    }
+    serde_json::from_value(json).map_err(|error| Failure::Input(error.to_string()))
+}
--- /dev/null
+++ b/crates/ebonyctl/src/command/status.rs
@@ -0,0 +1,64 @@
+//! The state of the hosts.
+
+use ebonytack_core::{OperatorReply, OperatorRequest};
+use serde_json::{Value, json};
+
+use super::Context;
+use crate::exit::Failure;
+use crate::table;
+
+pub(super) async fn run(context: &Context) -> Result<(), Failure> {
+    let replies = context.client.ask_each(&OperatorRequest::Status).await;
+    let statuses: Vec<(String, Value)> = replies
+        .into_iter()
+        .map(|(host, reply)| match reply {
+            Ok(OperatorReply::Status { status }) => (host, status),
+            Ok(other) => (host, json!({"error": format!("{other:?}")})),
+            Err(failure) => (host, json!({"error": failure.to_string()})),
+        })
+        .collect();
+    let reached = statuses.iter().any(|(_, status)| status.get("error").is_none());
+    if !context.print_json(&json!(statuses)) {
+        print(&statuses);
+    }
+    if reached { Ok(()) } else { Err(Failure::Unreachable("no host answers".to_owned())) }
+}
+
+fn print(statuses: &[(String, Value)]) {
+    let header =
+        ["address", "host", "revision", "ready", "age ms", "shards", "in flight", "ejected"];
+    let rows: Vec<Vec<String>> = statuses
+        .iter()
+        .map(|(address, status)| {
+            if let Some(error) = status.get("error") {
+                return vec![address.clone(), error.to_string()];
+            }
+            let cell = |name: &str| status[name].to_string();
+            vec![
+                address.clone(),
+                cell("host"),
+                cell("revision"),
+                cell("ready"),
+                cell("knowledge_age_ms"),
+                cell("shards_held"),
+                cell("requests_in_flight"),
+                ejected(status),
+            ]
+        })
+        .collect();
+    table::print(&header, &rows);
+}
+
+fn ejected(status: &Value) -> String {
+    let services = status["services"].as_object();
+    let of = |(service, view): (&String, &Value)| {
+        let names: Vec<String> = view["ejected"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|name| Some(format!("{service}/{}", name.as_str()?)))
+            .collect();
+        names
+    };
+    services.into_iter().flatten().flat_map(of).collect::<Vec<_>>().join(" ")
+}
--- a/crates/ebonyctl/src/main.rs
+++ b/crates/ebonyctl/src/main.rs
@@ -1,2 +1,21 @@
-//! Placeholder.
-fn main() {}
+//! The operators' tool of the ebonytack proxy fleet.
+
+mod cli;
+mod client;
+mod command;
+mod exit;
+mod table;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let outcome = actix_rt::System::new().block_on(command::run(&matches));
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("ebonyctl: {failure}");
+            ExitCode::from(failure.code())
+        }
+    }
+}
--- a/crates/testbed/src/bin/demo.rs
+++ b/crates/testbed/src/bin/demo.rs
@@ -1,5 +1,175 @@
-//! Placeholder.
+//! Shows a fleet under ordinary traffic and faults, and what its callers saw.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use ebonytack_core::{KeyHash, OperatorReply, OperatorRequest};
+use ebonytack_testbed::{Caller, Fleet, FleetPlan, InstanceFault, Reply, run_role};
+use eyre::{Result, ensure};
+
+const PHASE: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(5);
+/// How long a withdrawn key may still work.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// What callers saw in one phase.
+#[derive(Default)]
+struct Phase {
+    name: &'static str,
+    replies: BTreeMap<String, usize>,
+}
+
 fn main() -> ExitCode {
-    ebonytack_testbed::run_role().unwrap_or(ExitCode::SUCCESS)
+    if let Some(code) = run_role() {
+        return code;
+    }
+    match actix_rt::System::new().block_on(demo()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo() -> Result<()> {
+    println!("Starting a platform, 8 instances and 4 hosts on loopback.");
+    let plan = FleetPlan::new(4)
+        .service("catalogue", 5, "stock-lookup", Duration::from_millis(10))
+        .service("orders", 3, "order-once", Duration::from_millis(10))
+        .customer("club", 2_000, 1_000)
+        .customer("bar", 2_000, 1_000);
+    let mut fleet = Fleet::start(&std::env::current_exe()?, &plan).await?;
+    for customer in ["key-club", "key-bar"] {
+        fleet.wait_served("/catalogue/warm", customer).await?;
+    }
+    let mut phases = Vec::new();
+    phases.push(traffic(&fleet, "ordinary traffic", &[1, 2, 3, 4], async {}).await);
+    let withdrawn = Cell::new(None);
+    let withdraw = async { withdrawn.set(withdraw(&fleet).await) };
+    phases.push(traffic(&fleet, "a key is withdrawn", &[1, 2, 3, 4], withdraw).await);
+    let silent = InstanceFault { silent: true, ..InstanceFault::default() };
+    fleet.upstream("catalogue").set("catalogue-2", silent);
+    phases.push(traffic(&fleet, "an instance is cut one way", &[1, 2, 3, 4], async {}).await);
+    fleet.host_mut(3).terminate();
+    phases.push(traffic(&fleet, "a host stops as planned", &[1, 2, 4], async {}).await);
+    fleet.host_mut(3).wait()?;
+    fleet.host_mut(3).start()?;
+    fleet.wait_ready(3).await?;
+    phases.push(traffic(&fleet, "the host is back", &[1, 2, 3, 4], async {}).await);
+    print_table(&phases);
+    judge(&fleet, &phases, withdrawn.get()).await
+}
+
+/// Sends lookups and orders of both customers through these hosts while `event` happens.
+async fn traffic(
+    fleet: &Fleet,
+    name: &'static str,
+    hosts: &[u32],
+    event: impl Future<Output = ()>,
+) -> Phase {
+    let phase = RefCell::new(Phase { name, ..Phase::default() });
+    let began = Instant::now();
+    let streams = (0..12usize).map(|stream| {
+        let phase = &phase;
+        async move {
+            let caller = Caller::new();
+            let mut round = 0;
+            while began.elapsed() < PHASE {
+                let host = fleet.callers(hosts[(stream + round) % hosts.len()]);
+                let customer = if stream % 3 == 0 { "bar" } else { "club" };
+                let (kind, reply) = one(&caller, host, customer, name, stream, round).await;
+                let seen = format!("{kind} of {customer}: {}", outcome(&reply));
+                *phase.borrow_mut().replies.entry(seen).or_default() += 1;
+                round += 1;
+                actix_rt::time::sleep(PAUSE).await;
+            }
+        }
+    });
+    let streams = futures_util::future::join_all(streams);
+    futures_util::join!(streams, event);
+    phase.into_inner()
+}
+
+async fn one(
+    caller: &Caller,
+    host: std::net::SocketAddr,
+    customer: &str,
+    phase: &str,
+    stream: usize,
+    round: usize,
+) -> (&'static str, Reply) {
+    let key = format!("key-{customer}");
+    if stream % 4 == 1 {
+        // Two streams share each order, so that most orders are repeated through another host.
+        let order = format!("{}-{}-{round}", phase.replace(' ', "-"), stream / 8);
+        let reply = caller.order(host, "/orders/new", &key, &order, "two rods").await;
+        return ("order", reply);
+    }
+    ("lookup", caller.get(host, "/catalogue/rods", &key).await)
+}
+
+fn outcome(reply: &Reply) -> String {
+    match (&reply.reason, reply.status) {
+        (Some(reason), _) => {
+            format!("refused, {reason}, {}", reply.outcome.as_deref().unwrap_or("?"))
+        }
+        (None, 0) => "no answer".to_owned(),
+        (None, status) if reply.replayed => format!("{status}, repeat"),
+        (None, status) => status.to_string(),
+    }
+}
+
+/// Withdraws a key and returns how long it still worked.
+async fn withdraw(fleet: &Fleet) -> Option<Duration> {
+    actix_rt::time::sleep(PHASE / 6).await;
+    let request = OperatorRequest::WithdrawKey {
+        change_id: "demo-withdrawal".to_owned(),
+        author: "demo".to_owned(),
+        made_at_unix_ms: 0,
+        key: KeyHash::of(b"key-bar"),
+    };
+    let began = Instant::now();
+    let reply = fleet.operator(1).ask(&request).await.ok()?;
+    if !matches!(reply, OperatorReply::Withdrawn) {
+        return None;
+    }
+    let caller = Caller::new();
+    for host in 1..=4 {
+        let refused = async || {
+            let reply = caller.get(fleet.callers(host), "/catalogue/rods", "key-bar").await;
+            reply.status == 403
+        };
+        fleet.wait_for("the key to stop", refused).await.ok()?;
+    }
+    Some(began.elapsed())
+}
+
+fn print_table(phases: &[Phase]) {
+    println!("\n{:<28} {:>7}  what callers saw", "phase", "times");
+    for phase in phases {
+        for (seen, count) in &phase.replies {
+            println!("{:<28} {count:>7}  {seen}", phase.name);
+        }
+    }
+}
+
+async fn judge(fleet: &Fleet, phases: &[Phase], withdrawn: Option<Duration>) -> Result<()> {
+    let runs = fleet.upstream("orders").runs_by_header("idempotency-key");
+    let most = runs.values().copied().max().unwrap_or(0);
+    println!("\norders that ran: {}, most runs of one: {most}", runs.len());
+    println!("the withdrawn key worked for {withdrawn:?}");
+    ensure!(most <= 1, "an order ran more than once");
+    ensure!(withdrawn.is_some_and(|time| time < IN_FORCE), "a withdrawn key went on working");
+    let leaked = fleet.upstreams.values().flat_map(|upstream| upstream.ledger());
+    let leaked = leaked.filter(|entry| format!("{entry:?}").contains("key-club")).count();
+    ensure!(leaked == 0, "an upstream saw a key");
+    for phase in phases {
+        let lost = phase.replies.keys().filter(|seen| seen.contains("no answer")).count();
+        ensure!(lost == 0, "callers without an answer: {}", phase.name);
+    }
+    println!("Nothing that must hold was broken.");
+    Ok(())
 }
--- /dev/null
+++ b/crates/testbed/src/measure/changes.rs
@@ -0,0 +1,189 @@
+//! How soon withdrawn keys and changed configuration are in force on all hosts that serve.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use ebonytack_core::{Customer, HostId, KeyHash, Operation, OperatorReply, OperatorRequest};
+use eyre::{Result, ensure};
+
+use super::{Figure, Report};
+use crate::{Caller, Fleet, FleetPlan, PlatformFault};
+
+const HOSTS: u32 = 44;
+/// How soon a change must be in force on all hosts that serve.
+const IN_FORCE_S: f64 = 2.0;
+const LIMIT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Hosts that cannot reach the table in the phase with a partial cut.
+const CUT_HOSTS: HostId = 15;
+
+/// The states of the table in which changes are measured.
+const TABLES: [(&str, PlatformFault, bool); 3] = [
+    ("table up", fault(false, 0), false),
+    ("table slow", fault(false, 400), false),
+    ("table cut from a third of the hosts", fault(false, 0), true),
+];
+
+const fn fault(out: bool, delay_ms: u64) -> PlatformFault {
+    PlatformFault { out, delay: Duration::from_millis(delay_ms), lose_every: 0 }
+}
+
+/// Measures changes of a customer's rate.
+pub(super) async fn run_configuration(
+    program: &Path,
+    seed: u64,
+    report: &mut Report,
+) -> Result<()> {
+    let fleet = start(program, seed).await?;
+    let mut revision = 1;
+    let mut reverted = 0;
+    for (name, fault, cut) in TABLES {
+        fleet.platform.set_all(fault);
+        if cut {
+            (1..=CUT_HOSTS).for_each(|host| fleet.platform.set(host, self::fault(true, 0)));
+        }
+        let mut worst = Duration::ZERO;
+        for _ in 0..5 {
+            revision += 1;
+            let began = Instant::now();
+            change(&fleet, revision).await?;
+            reverted += wait_revision(&fleet, revision).await;
+            worst = worst.max(began.elapsed());
+        }
+        let name = format!("{name}: change in force on all hosts, worst of 5");
+        report.push(Figure::new(name, worst.as_secs_f64(), "s").at_most(IN_FORCE_S));
+    }
+    fleet.platform.set_all(PlatformFault::default());
+    reverted += wait_revision(&fleet, revision).await;
+    report.push(
+        Figure::new("hosts that went back to a lower revision", reverted as f64, "hosts")
+            .at_most(0.0),
+    );
+    Ok(())
+}
+
+/// Measures withdrawals of keys.
+pub(super) async fn run_keys(program: &Path, seed: u64, report: &mut Report) -> Result<()> {
+    let fleet = start(program, seed).await?;
+    let tables = [
+        ("table up", fault(false, 0)),
+        ("table slow", fault(false, 400)),
+        ("table out", fault(true, 0)),
+    ];
+    for (index, (name, fault)) in tables.into_iter().enumerate() {
+        fleet.platform.set_all(fault);
+        let customer = format!("customer-{}", index + 1);
+        let began = Instant::now();
+        let last = withdraw(&fleet, &customer, began).await?;
+        let name = format!("{name}: withdrawn key worked for the last time after");
+        report.push(Figure::new(name, last.as_secs_f64(), "s").at_most(IN_FORCE_S));
+    }
+    let refused = outage(&fleet).await;
+    report.push(Figure::new("other keys refused during an outage", refused, "share").at_most(0.0));
+    Ok(())
+}
+
+async fn start(program: &Path, seed: u64) -> Result<Fleet> {
+    let mut plan = FleetPlan::new(HOSTS)
+        .service("catalogue", 20, "stock-lookup", Duration::from_millis(5))
+        .seed(seed);
+    for index in 1..=8 {
+        plan = plan.customer(&format!("customer-{index}"), 5_000, 5_000);
+    }
+    let fleet = Fleet::start(program, &plan).await?;
+    for index in 1..=8 {
+        fleet.wait_served("/catalogue/warm", &format!("key-customer-{index}")).await?;
+    }
+    Ok(fleet)
+}
+
+async fn change(fleet: &Fleet, revision: u64) -> Result<()> {
+    let value = Some(Customer { rate_per_second: 5_000, burst: 5_000 + revision as u32 });
+    let request = OperatorRequest::Apply {
+        change_id: format!("change-{revision}"),
+        author: "measure".to_owned(),
+        made_at_unix_ms: 0,
+        based_on: None,
+        operations: vec![Operation::Customer { id: "customer-8".to_owned(), value }],
+    };
+    let reply = fleet.operator(HOSTS).ask(&request).await?;
+    ensure!(matches!(reply, OperatorReply::Accepted { .. }), "not accepted: {reply:?}");
+    Ok(())
+}
+
+/// Waits until all hosts have the revision; returns how many were seen to go back.
+async fn wait_revision(fleet: &Fleet, wanted: u64) -> usize {
+    let began = Instant::now();
+    let mut highest = vec![0; HOSTS as usize];
+    let mut reverted = 0;
+    loop {
+        let revisions = revisions(fleet).await;
+        for (highest, revision) in highest.iter_mut().zip(&revisions) {
+            reverted += usize::from(revision < highest);
+            *highest = (*revision).max(*highest);
+        }
+        if revisions.iter().all(|revision| *revision >= wanted) || began.elapsed() > LIMIT {
+            return reverted;
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+async fn revisions(fleet: &Fleet) -> Vec<u64> {
+    let operators = fleet.hosts.iter().map(|host| fleet.operator(host.host));
+    let statuses = operators.map(|operator| async move { operator.status().await });
+    let statuses = futures_util::future::join_all(statuses).await;
+    let revision = |status: &Result<serde_json::Value>| {
+        status.as_ref().ok().and_then(|status| status["revision"].as_u64()).unwrap_or(0)
+    };
+    statuses.iter().map(revision).collect()
+}
+
+/// Withdraws a key while every host gets requests with it; returns when the last one ran.
+async fn withdraw(fleet: &Fleet, customer: &str, began: Instant) -> Result<Duration> {
+    let key = format!("key-{customer}");
+    let request = OperatorRequest::WithdrawKey {
+        change_id: format!("withdraw-{customer}"),
+        author: "measure".to_owned(),
+        made_at_unix_ms: 0,
+        key: KeyHash::of(key.as_bytes()),
+    };
+    let operator = fleet.operator(1);
+    let asked = operator.ask(&request);
+    let key = &key;
+    let streams = fleet.hosts.iter().map(|host| async move {
+        let caller = Caller::new();
+        let mut last = Duration::ZERO;
+        while began.elapsed() < Duration::from_secs(4) {
+            let sent = began.elapsed();
+            if caller.get(host.callers, "/catalogue/rods", key).await.is_good() {
+                last = last.max(sent);
+            }
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        last
+    });
+    let (reply, lasts) = futures_util::join!(asked, futures_util::future::join_all(streams));
+    ensure!(matches!(reply?, OperatorReply::Withdrawn), "not withdrawn");
+    Ok(lasts.into_iter().max().unwrap_or_default())
+}
+
+/// Returns the share of other customers' requests that are refused while the table is out.
+async fn outage(fleet: &Fleet) -> f64 {
+    let began = Instant::now();
+    let streams = fleet.hosts.iter().map(|host| async move {
+        let caller = Caller::new();
+        let (mut all, mut refused) = (0, 0);
+        while began.elapsed() < Duration::from_secs(5) {
+            let reply = caller.get(host.callers, "/catalogue/rods", "key-customer-7").await;
+            all += 1;
+            refused += usize::from(!reply.is_good());
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+        (all, refused)
+    });
+    let counts = futures_util::future::join_all(streams).await;
+    let all: usize = counts.iter().map(|(all, _)| all).sum();
+    let refused: usize = counts.iter().map(|(_, refused)| refused).sum();
+    refused as f64 / all.max(1) as f64
+}
--- a/crates/testbed/src/measure/mod.rs
+++ b/crates/testbed/src/measure/mod.rs
@@ -2,13 +2,16 @@
 
 mod baseline;
 mod bucket_check;
+mod changes;
 mod co_op;
 mod fairness;
 mod gray;
 mod healthy;
 mod limits;
 mod load;
+mod orders;
 mod overhead;
+mod recovery;
 mod report;
 mod scenario;
 mod slopes;
