--- a/crates/core/src/health/book.rs
+++ b/crates/core/src/health/book.rs
@@ -11,15 +11,7 @@
     Outbox, Service, ServiceId, ShardId,
 };
 
-const LOCAL_SETTINGS: DetectorSettings = DetectorSettings {
-    failed_share_healthy: 0.02,
-    failed_share_excess: 0.3,
-    slow_window_share: 0.6,
-    slow_windows_healthy: 0.1,
-    slow_windows_ill: 0.7,
-    silent_windows_healthy: 0.02,
-    threshold: 8.0,
-};
+const LOCAL_SETTINGS: DetectorSettings = DetectorSettings::LOCAL;
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 const IDLE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/core/src/health/detector.rs
+++ b/crates/core/src/health/detector.rs
@@ -34,6 +34,28 @@
     pub threshold: f64,
 }
 
+impl DetectorSettings {
+    /// For the evidence of all hosts, on which an ejection rests.
+    pub const FLEET: Self = Self {
+        failed_share_healthy: 0.02,
+        failed_share_excess: 0.2,
+        slow_window_share: 0.5,
+        slow_windows_healthy: 0.1,
+        slow_windows_ill: 0.7,
+        silent_windows_healthy: 0.01,
+        threshold: 10.0,
+    };
+
+    /// For the evidence of one host, on which its own avoidance rests.
+    pub const LOCAL: Self = Self {
+        failed_share_excess: 0.3,
+        slow_window_share: 0.6,
+        silent_windows_healthy: 0.02,
+        threshold: 8.0,
+        ..Self::FLEET
+    };
+}
+
 /// Page's CUSUM of the log-likelihood ratio of "ill" against "healthy".
 ///
 /// Failures are accumulated attempt by attempt. Slowness is accumulated window by window, because
--- a/crates/core/src/health/service_health.rs
+++ b/crates/core/src/health/service_health.rs
@@ -7,15 +7,7 @@
 use super::{Detector, DetectorSettings, Evidence, InstanceEvidence, Scope, Verdict, VerdictPhase};
 use crate::{DataCentreId, HostId, InstanceId, Service};
 
-const SETTINGS: DetectorSettings = DetectorSettings {
-    failed_share_healthy: 0.02,
-    failed_share_excess: 0.2,
-    slow_window_share: 0.5,
-    slow_windows_healthy: 0.1,
-    slow_windows_ill: 0.7,
-    silent_windows_healthy: 0.01,
-    threshold: 10.0,
-};
+const SETTINGS: DetectorSettings = DetectorSettings::FLEET;
 const EJECT_FIRST: Duration = Duration::from_secs(2);
 const EJECT_MAX: Duration = Duration::from_secs(60);
 /// How long an instance must stay in use before its ejection starts short again.
--- a/crates/core/tests/suite/detector.rs
+++ b/crates/core/tests/suite/detector.rs
@@ -4,15 +4,7 @@
 
 use crate::support::ms;
 
-const SETTINGS: DetectorSettings = DetectorSettings {
-    failed_share_healthy: 0.02,
-    failed_share_excess: 0.2,
-    slow_window_share: 0.5,
-    slow_windows_healthy: 0.1,
-    slow_windows_ill: 0.7,
-    silent_windows_healthy: 0.01,
-    threshold: 10.0,
-};
+const SETTINGS: DetectorSettings = DetectorSettings::FLEET;
 
 /// Feeds one observation every 10 ms and returns after how many the instance counts as ill.
 fn steps(evidence: impl Fn(u64) -> Evidence, baseline: (f64, f64), most: u64) -> Option<u64> {
--- a/crates/ebonytack/src/admin/service.rs
+++ b/crates/ebonytack/src/admin/service.rs
@@ -1,18 +1,17 @@
 //! Operators' connections.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::HttpService;
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
-use eyre::{Result, eyre};
+use actix_service::fn_service;
+use eyre::Result;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpStream;
 
 use super::handler::handle;
-use crate::runtime::Shell;
+use crate::runtime::{ConnectionTask, Shell, connection_service};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -20,19 +19,10 @@
 pub(crate) async fn service(
     shell: &Rc<Shell>,
     metrics: PrometheusHandle,
-) -> Result<impl Fn(TcpStream, SocketAddr) -> Pin<Box<dyn Future<Output = ()>>> + 'static> {
+) -> Result<impl Fn(TcpStream, SocketAddr) -> ConnectionTask + 'static> {
     let requests = Rc::clone(shell);
     let factory = HttpService::build()
         .client_request_timeout(REQUEST_TIMEOUT)
-        .h1(fn_service(move |request| handle(Rc::clone(&requests), metrics.clone(), request)))
-        .into_factory();
-    let service = factory.new_service(()).await.map_err(|()| eyre!("cannot start to serve"))?;
-    let service = Rc::new(service);
-    Ok(move |stream, from| {
-        let service = Rc::clone(&service);
-        Box::pin(async move {
-            // Errors of one connection end that connection only.
-            let _ = service.call((stream, Some(from))).await;
-        }) as Pin<Box<dyn Future<Output = ()>>>
-    })
+        .h1(fn_service(move |request| handle(Rc::clone(&requests), metrics.clone(), request)));
+    connection_service(factory).await
 }
--- a/crates/ebonytack/src/peer/server.rs
+++ b/crates/ebonytack/src/peer/server.rs
@@ -1,7 +1,6 @@
 //! Receiving batches from peers.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -11,12 +10,12 @@
 use tokio::net::TcpStream;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use crate::runtime::Shell;
+use crate::runtime::{ConnectionTask, Shell};
 
 /// Returns the handler of peers' connections.
 pub(crate) fn service(
     shell: &Rc<Shell>,
-) -> impl Fn(TcpStream, SocketAddr) -> Pin<Box<dyn Future<Output = ()>>> + 'static {
+) -> impl Fn(TcpStream, SocketAddr) -> ConnectionTask + 'static {
     let secret = FleetSecret::new(&shell.settings.fleet_secret);
     let receiver = Receiver { shell: Rc::clone(shell), secret };
     let client: peer_capnp::peer::Client = capnp_rpc::new_client(receiver);
--- a/crates/ebonytack/src/proxy/connections.rs
+++ b/crates/ebonytack/src/proxy/connections.rs
@@ -1,17 +1,16 @@
 //! Callers' connections.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::HttpService;
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
-use eyre::{Result, eyre};
+use actix_service::fn_service;
+use eyre::Result;
 use tokio::net::TcpStream;
 
 use super::handler::handle;
-use crate::runtime::Shell;
+use crate::runtime::{ConnectionTask, Shell, connection_service};
 
 /// How long callers may take to read what was written before a stop.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
@@ -19,7 +18,7 @@
 /// Returns the handler of callers' connections.
 pub(crate) async fn service(
     shell: &Rc<Shell>,
-) -> Result<impl Fn(TcpStream, SocketAddr) -> Pin<Box<dyn Future<Output = ()>>> + 'static> {
+) -> Result<impl Fn(TcpStream, SocketAddr) -> ConnectionTask + 'static> {
     let requests = Rc::clone(shell);
     let closing = Rc::clone(shell);
     let factory = HttpService::build()
@@ -30,17 +29,8 @@
             let shell = Rc::clone(&closing);
             async move { shell.closing.notified().await }
         })
-        .h1(fn_service(move |request| handle(Rc::clone(&requests), request)))
-        .into_factory();
-    let service = factory.new_service(()).await.map_err(|()| eyre!("cannot start to serve"))?;
-    let service = Rc::new(service);
-    Ok(move |stream, from| {
-        let service = Rc::clone(&service);
-        Box::pin(async move {
-            // Errors of one connection end that connection only.
-            let _ = service.call((stream, Some(from))).await;
-        }) as Pin<Box<dyn Future<Output = ()>>>
-    })
+        .h1(fn_service(move |request| handle(Rc::clone(&requests), request)));
+    connection_service(factory).await
 }
 
 /// Closes callers' connections after their last answers.
--- a/crates/ebonytack/src/runtime/mod.rs
+++ b/crates/ebonytack/src/runtime/mod.rs
@@ -1,11 +1,13 @@
 //! The runtime: feeds events to the reducer and carries out its effects.
 
+mod connection_service;
 mod listen;
 mod platform_link;
 mod serve;
 mod shell;
 mod trace_writer;
 
+pub(crate) use connection_service::{ConnectionTask, connection_service};
 pub(crate) use listen::accept_loop;
 pub(crate) use serve::serve;
 pub(crate) use shell::{CallerAnswer, Shell};
--- a/crates/testbed/src/measure/changes.rs
+++ b/crates/testbed/src/measure/changes.rs
@@ -7,12 +7,14 @@
 use eyre::{Result, ensure};
 
 use super::{Figure, Report};
-use crate::{Caller, Fleet, FleetPlan, PlatformFault};
+use crate::{Caller, Fleet, FleetPlan, HostProcess, PlatformFault};
 
 const HOSTS: u32 = 44;
 /// How soon a change must be in force on all hosts that serve.
 const IN_FORCE_S: f64 = 2.0;
 const LIMIT: Duration = Duration::from_secs(10);
+const CONTROL_TIME: Duration = Duration::from_secs(10);
+const SENT_BYTES: &str = "ebonytack_peer_sent_bytes_total";
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Hosts that cannot reach the table in the phase with a partial cut.
 const CUT_HOSTS: HostId = 15;
@@ -59,9 +61,33 @@
         Figure::new("hosts that went back to a lower revision", reverted as f64, "hosts")
             .at_most(0.0),
     );
+    control(&fleet, report).await;
     Ok(())
 }
 
+/// Measures what control costs a host without traffic.
+async fn control(fleet: &Fleet, report: &mut Report) {
+    let usage = async || {
+        let cpu: f64 = fleet.hosts.iter().filter_map(HostProcess::cpu_seconds).sum();
+        let sent = fleet.hosts.iter().map(|host| fleet.operator(host.host));
+        let sent = sent.map(|operator| async move { operator.metric(SENT_BYTES).await });
+        let sent: f64 = futures_util::future::join_all(sent).await.into_iter().flatten().sum();
+        (cpu, sent)
+    };
+    let hosts = f64::from(HOSTS);
+    let before = usage().await;
+    actix_rt::time::sleep(CONTROL_TIME).await;
+    let after = usage().await;
+    let share = |before: f64, after: f64| (after - before) / CONTROL_TIME.as_secs_f64() / hosts;
+    let memory: f64 =
+        fleet.hosts.iter().filter_map(HostProcess::resident_bytes).max().unwrap_or(0) as f64;
+    let cpu = share(before.0, after.0) * 100.0;
+    let sent = share(before.1, after.1) / 1e3;
+    report.push(Figure::new("control of an idle host: processor", cpu, "% core").at_most(2.7));
+    report.push(Figure::new("control of an idle host: sent to peers", sent, "KB/s").at_most(11.0));
+    report.push(Figure::new("largest host: memory", memory / 1e6, "MB").at_most(128.0));
+}
+
 /// Measures withdrawals of keys.
 pub(super) async fn run_keys(program: &Path, seed: u64, report: &mut Report) -> Result<()> {
     let fleet = start(program, seed).await?;
--- a/crates/testbed/src/operator.rs
+++ b/crates/testbed/src/operator.rs
@@ -44,6 +44,17 @@
         sent.is_ok_and(|response| response.status().is_success())
     }
 
+    /// Returns the value of one of the host's metrics without labels.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let client = awc::Client::default();
+        let mut response =
+            client.get(format!("http://{}/metrics", self.admin)).send().await.ok()?;
+        let body = response.body().await.ok()?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        line?.trim().parse().ok()
+    }
+
     /// Returns the host's status.
     ///
     /// # Errors
