--- a/crates/core/src/host/mod.rs
+++ b/crates/core/src/host/mod.rs
@@ -1,10 +1,12 @@
 //! The state of one entry host and its reducer.
 
 mod address_book;
+mod attempts;
 mod claims;
 mod identity;
 mod operators;
 mod peers;
+mod queueing;
 mod requests;
 mod rounds;
 mod state;
--- a/crates/core/src/host/peers.rs
+++ b/crates/core/src/host/peers.rs
@@ -189,9 +189,11 @@
         }
         if !operations.is_empty() {
             self.health.on_operations(&operations, self.now);
-            self.refresh_wanted_shards();
             self.refresh_queues();
         }
+        if operations.iter().any(changes_shards) {
+            self.refresh_wanted_shards();
+        }
     }
 
     /// Sends what is newer than `revision` to a few peers at once.
@@ -355,3 +357,14 @@
         table.on_contents(shard, from, complete, claims, majority, self.now);
     }
 }
+
+/// Returns whether an operation can change which shards are in use, or who votes on them.
+fn changes_shards(operation: &Operation) -> bool {
+    match operation {
+        Operation::Host { .. } | Operation::Customer { .. } | Operation::Service { .. } => true,
+        Operation::Key { .. }
+        | Operation::Profile { .. }
+        | Operation::InstanceState { .. }
+        | Operation::Route { .. } => false,
+    }
+}
