feat(gateway): tell failures at once and remember them longer for orders

Change: a failure is reported within 20 ms in the data centre and 100 ms to others. Hosts keep a second memory of 5 s, from the differences of reports, for attempts that must not fail: orders, and the last attempt of a lookup, which also does not explore. An address that was taken over counts as failures. Exploration happens at a rate, by the fleet's demand.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -8,9 +8,13 @@
 
 use ebonytack_core::Random;
 
-/// The half-life of evidence about an instance. Upstreams turn ill and well within seconds: one that
-/// was ill must be tried again before it has been well for two seconds longer than needed.
-const EVIDENCE_HALF_LIFE: Duration = Duration::from_millis(1200);
+/// The half-life of evidence that decides about requests that can be repeated, in milliseconds.
+/// Upstreams turn ill and well within seconds: one that was ill must be tried again before it has
+/// been well for two seconds longer than needed.
+const EVIDENCE_HALF_LIFE_MS: u64 = 1_200;
+/// The half-life of evidence that decides about requests that cannot be repeated, in milliseconds:
+/// about as long as an upstream stays ill. Others show sooner that it is well again.
+const LASTING_HALF_LIFE_MS: u64 = 5_000;
 /// The share of failures that is expected of an instance without evidence.
 const FAILURE_PRIOR: f64 = 0.02;
 /// How many attempts the expectation counts for.
@@ -40,9 +44,14 @@
 /// do not all choose the same.
 const SPREAD: f64 = 0.3;
 
-/// Recent attempts on an instance; older ones count less.
+/// Recent attempts on an instance, for requests that can be repeated.
+pub type Evidence = FadingEvidence<EVIDENCE_HALF_LIFE_MS>;
+/// Attempts on an instance over a longer time, for requests that cannot be repeated.
+pub type LastingEvidence = FadingEvidence<LASTING_HALF_LIFE_MS>;
+
+/// Attempts on an instance; older ones count less.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Evidence {
+pub struct FadingEvidence<const HALF_LIFE_MS: u64> {
     /// Attempts.
     pub attempts: f64,
     /// Those of the attempts that failed.
@@ -51,7 +60,7 @@
     as_of: Duration,
 }
 
-impl Evidence {
+impl<const HALF_LIFE_MS: u64> FadingEvidence<HALF_LIFE_MS> {
     /// Creates evidence as of `now`.
     pub fn new(attempts: f64, failures: f64, now: Duration) -> Self {
         Self { attempts, failures, as_of: now }
@@ -60,7 +69,8 @@
     /// Returns the evidence as it counts at `now`.
     pub fn at(&self, now: Duration) -> Self {
         let age = now.saturating_sub(self.as_of).as_secs_f64();
-        let left = (-age / EVIDENCE_HALF_LIFE.as_secs_f64()).exp2();
+        let half_life = Duration::from_millis(HALF_LIFE_MS).as_secs_f64();
+        let left = (-age / half_life).exp2();
         Self { attempts: self.attempts * left, failures: self.failures * left, as_of: now }
     }
 
@@ -79,12 +89,15 @@
 
 /// Returns the probability that the next attempt fails. The own evidence can be worse than that
 /// of the fleet, since a path can be cut for one host only.
-pub fn failure_probability(own: &Evidence, fleet: &Evidence) -> f64 {
-    let share = |evidence: &Evidence, prior_attempts: f64| {
-        let failures = evidence.failures + FAILURE_PRIOR * prior_attempts;
-        (failures / (evidence.attempts + prior_attempts)).min(1.0)
+pub fn failure_probability<const HALF_LIFE_MS: u64>(
+    own: &FadingEvidence<HALF_LIFE_MS>,
+    fleet: &FadingEvidence<HALF_LIFE_MS>,
+) -> f64 {
+    let share = |evidence: &FadingEvidence<HALF_LIFE_MS>| {
+        let failures = evidence.failures + FAILURE_PRIOR * FAILURE_PRIOR_ATTEMPTS;
+        (failures / (evidence.attempts + FAILURE_PRIOR_ATTEMPTS)).min(1.0)
     };
-    share(fleet, FAILURE_PRIOR_ATTEMPTS).max(share(own, FAILURE_PRIOR_ATTEMPTS))
+    share(fleet).max(share(own))
 }
 
 /// What is known of an instance when a request is placed.
@@ -129,13 +142,14 @@
 }
 
 impl Placement {
-    /// Chooses the candidate with the least expected cost.
-    pub fn choose(candidates: &[Candidate], idempotent: bool, random: &mut Random) -> Option<Self> {
-        let failure_cost_s = if idempotent { REPEATABLE_FAILURE_COST_S } else { FAILURE_COST_S };
+    /// Chooses the candidate with the least expected cost. `repeatable` says whether another
+    /// attempt may follow a failure.
+    pub fn choose(candidates: &[Candidate], repeatable: bool, random: &mut Random) -> Option<Self> {
+        let failure_cost_s = if repeatable { REPEATABLE_FAILURE_COST_S } else { FAILURE_COST_S };
         let mut best: Option<(f64, Self)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
             let estimate_s = completion_estimate(candidate);
-            let explored = idempotent && candidate.untried;
+            let explored = repeatable && candidate.untried;
             let probability = match explored {
                 true => FAILURE_PRIOR,
                 false => candidate.failure_probability,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use ebonytack_core::{DataCentreId, Incarnation};
 
-use crate::balance::Evidence;
+use crate::balance::{Evidence, LastingEvidence};
 use crate::report::ShortId;
 use crate::{Report, Section};
 
@@ -19,6 +19,13 @@
 /// are news.
 const YOUNG_SECTIONS: u64 = 10;
 
+/// Differences below this many attempts come from rounding.
+const NEW_ATTEMPTS_MIN: f64 = 0.01;
+/// Failures above this number are told at once.
+const NEW_FAILURES_MIN: f64 = 0.4;
+/// Evidence of fewer attempts decides nothing.
+const FADED_ATTEMPTS: f64 = 0.02;
+
 /// A host as it registered itself in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -74,11 +81,36 @@
     to_pass_on: Vec<(DataCentreId, Section, Duration)>,
     /// Admissions in the own data centre, as this host saw them. Invariant: never falls.
     admitted_here: HashMap<ShortId, u64>,
+    /// What others report of instances, over a longer time than a report covers.
+    lasting_evidence: HashMap<ShortId, LastingEvidence>,
 }
 
 /// Admissions by other hosts that were not known before.
 pub(crate) type NewAdmissions = Vec<(ShortId, u64)>;
 
+/// What a report tells that was not known before.
+#[derive(Debug, Default)]
+pub(crate) struct ReportNews {
+    pub(crate) admissions: NewAdmissions,
+    /// Whether an attempt on an instance failed.
+    pub(crate) failures: bool,
+}
+
+/// Attempts of other hosts that were not known before.
+#[derive(Clone, Copy, Debug)]
+struct NewAttempts {
+    instance: ShortId,
+    attempts: f64,
+    failures: f64,
+}
+
+/// What a section adds to the one before it.
+#[derive(Debug, Default)]
+struct News {
+    admissions: NewAdmissions,
+    attempts: Vec<NewAttempts>,
+}
+
 /// Members.
 impl Fleet {
     pub(crate) fn new(name: String, data_centre: DataCentreId) -> Self {
@@ -90,6 +122,7 @@
             data_centres: BTreeMap::new(),
             to_pass_on: Vec::new(),
             admitted_here: HashMap::new(),
+            lasting_evidence: HashMap::new(),
         }
     }
 
@@ -201,10 +234,10 @@
 
 /// Reports.
 impl Fleet {
-    /// Takes a report and returns the admissions that were not known before.
-    pub(crate) fn on_report(&mut self, report: Report, now: Duration) -> NewAdmissions {
+    /// Takes a report and returns what was not known before.
+    pub(crate) fn on_report(&mut self, report: Report, now: Duration) -> ReportNews {
         if report.from == self.name {
-            return Vec::new();
+            return ReportNews::default();
         }
         let near = report.data_centre == self.data_centre;
         let peer = self
@@ -213,18 +246,19 @@
             .or_insert_with(|| Peer::new(report.address, report.data_centre.clone(), now));
         let known = (peer.incarnation, peer.sequence);
         if (report.incarnation, report.sequence) <= known {
-            return Vec::new();
+            return ReportNews::default();
         }
         (peer.incarnation, peer.sequence) = (report.incarnation, report.sequence);
         peer.address = report.address;
         peer.heard_at = Some(now);
-        let mut new = Vec::new();
+        let mut new = ReportNews::default();
         if near {
-            let admissions = peer.section.replace(&report.own, now);
-            for (id, count) in &admissions {
+            let news = peer.section.replace(&report.own, now);
+            for (id, count) in &news.admissions {
                 *self.admitted_here.entry(*id).or_default() += count;
             }
-            new.extend(admissions);
+            note_attempts(&mut self.lasting_evidence, &news.attempts, now);
+            new.add(news);
         }
         for (data_centre, section) in report.data_centres {
             if data_centre == self.data_centre {
@@ -234,7 +268,9 @@
             if !view.is_newer(&section, now) {
                 continue;
             }
-            new.extend(view.replace(&section, now));
+            let news = view.replace(&section, now);
+            note_attempts(&mut self.lasting_evidence, &news.attempts, now);
+            new.add(news);
             if !near {
                 self.to_pass_on.retain(|(waiting, _, _)| *waiting != data_centre);
                 self.to_pass_on.push((data_centre, section, now));
@@ -248,6 +284,11 @@
         *self.admitted_here.entry(id).or_default() += 1;
     }
 
+    /// Returns whether there are sections that the own data centre has not seen yet.
+    pub(crate) fn has_sections_to_pass_on(&self) -> bool {
+        !self.to_pass_on.is_empty()
+    }
+
     /// Takes the sections that the own data centre has not seen yet.
     pub(crate) fn take_to_pass_on(&mut self, now: Duration) -> Vec<(DataCentreId, Section)> {
         let waiting = std::mem::take(&mut self.to_pass_on);
@@ -308,6 +349,16 @@
         sums
     }
 
+    /// Returns what the other hosts saw of an instance over a longer time.
+    pub(crate) fn lasting_evidence(&self, id: ShortId, now: Duration) -> LastingEvidence {
+        self.lasting_evidence.get(&id).map(|evidence| evidence.at(now)).unwrap_or_default()
+    }
+
+    /// Forgets evidence that has faded.
+    pub(crate) fn forget_faded(&mut self, now: Duration) {
+        self.lasting_evidence.retain(|_, evidence| evidence.at(now).attempts > FADED_ATTEMPTS);
+    }
+
     /// Returns what the other heard hosts are asked for on behalf of a customer.
     pub(crate) fn demand(&self, id: ShortId, now: Duration) -> f64 {
         let near = self.near_peers(now).map(|peer| &peer.section);
@@ -323,6 +374,23 @@
     }
 }
 
+impl ReportNews {
+    fn add(&mut self, news: News) {
+        self.failures |= news.attempts.iter().any(|new| new.failures > NEW_FAILURES_MIN);
+        self.admissions.extend(news.admissions);
+    }
+}
+
+fn note_attempts(
+    evidence: &mut HashMap<ShortId, LastingEvidence>,
+    news: &[NewAttempts],
+    now: Duration,
+) {
+    for new in news {
+        evidence.entry(new.instance).or_default().add(new.attempts, new.failures, now);
+    }
+}
+
 impl Peer {
     fn new(address: SocketAddr, data_centre: DataCentreId, now: Duration) -> Self {
         Self {
@@ -355,10 +423,11 @@
         self.sequence == 0 || now.saturating_sub(age) > self.as_of
     }
 
-    /// Takes a newer section over; returns the admissions since the last one of the same source.
-    fn replace(&mut self, section: &Section, now: Duration) -> NewAdmissions {
+    /// Takes a newer section over; returns what happened since the last one of the same source.
+    fn replace(&mut self, section: &Section, now: Duration) -> News {
         let same_source = self.sequence > 0 && self.source == section.source;
         let mut new = Vec::new();
+        let attempts = self.new_attempts(section, now);
         if same_source || section.sequence <= YOUNG_SECTIONS {
             for report in &section.customers {
                 let known = self.customers.get(&report.id).filter(|_| same_source);
@@ -391,6 +460,21 @@
         } else {
             self.customers = customers.collect();
         }
-        new
+        News { admissions: new, attempts }
+    }
+
+    /// Returns the attempts that a section counts beyond those that this one still counts.
+    fn new_attempts(&self, section: &Section, now: Duration) -> Vec<NewAttempts> {
+        let as_of = now.saturating_sub(Duration::from_millis(u64::from(section.age_ms)));
+        let new = section.instances.iter().map(|report| {
+            let known = self.instances.get(&report.id).map(|(_, evidence)| evidence.at(as_of));
+            let known = known.unwrap_or_default();
+            NewAttempts {
+                instance: report.id,
+                attempts: (f64::from(report.attempts) - known.attempts).max(0.0),
+                failures: (f64::from(report.failures) - known.failures).max(0.0),
+            }
+        });
+        new.filter(|new| new.attempts > NEW_ATTEMPTS_MIN).collect()
     }
 }
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -5,7 +5,9 @@
 use ebonytack_core::{AttemptId, RefusalReason, RequestId};
 
 use super::Gateway;
+use super::placing::Exploration;
 use super::requests::millis;
+use super::state::InstanceView;
 use crate::request::Attempt;
 use crate::{AttemptResult, Effect, Record, UpstreamAnswer};
 
@@ -19,6 +21,9 @@
 const SERVICE_TIME_RATIO_MAX: f64 = 4.0;
 /// What an overdue attempt counts for, in failures.
 const OVERDUE_FAILURES: f64 = 0.5;
+/// What another instance at the address counts for, in failures: enough that other hosts do not
+/// have to find out by themselves.
+const MISDIRECTED_FAILURES: f64 = 4.0;
 /// The most sends of one request, those included that no instance ran.
 const SENDS_MAX: u32 = 4;
 /// The least time in which another attempt can succeed.
@@ -77,19 +82,26 @@
                 view.stated_load = answer.load.map(|load| (load, now));
                 view.connected_at = Some(now);
                 let failed = !answer.signed || answer.status >= FAILURE_STATUS;
-                view.evidence.add(1.0 - counted, if failed { 1.0 - counted } else { 0.0 }, now);
+                let weight = 1.0 - counted;
+                view.note_attempts(weight, if failed { weight } else { 0.0 }, now);
+                self.report_urgent |= failed;
                 if !failed && !attempt.overdue {
                     self.learn_service_time(request, attempt, answer.latency);
                 }
             }
-            AttemptResult::TurnedAway { wrong_instance: true, .. } => view.misdirected = true,
+            AttemptResult::TurnedAway { wrong_instance: true, .. } => {
+                view.misdirected = true;
+                view.note_attempts(MISDIRECTED_FAILURES, MISDIRECTED_FAILURES, now);
+                self.report_urgent = true;
+            }
             AttemptResult::TurnedAway { load, .. } => {
                 view.stated_load = load.map(|load| (load, now));
                 view.full_at = Some(now);
             }
             AttemptResult::Failed { .. } => {
-                view.evidence.add(1.0 - counted, 1.0 - counted, now);
+                view.note_attempts(1.0 - counted, 1.0 - counted, now);
                 view.connected_at = None;
+                self.report_urgent = true;
             }
         }
     }
@@ -173,7 +185,7 @@
             return false;
         }
         let service = active.service.clone();
-        let Some(chosen) = self.choose(request) else { return false };
+        let Some(chosen) = self.choose(request, Exploration::Never) else { return false };
         if costs && !self.spend_repeat(&service) {
             return false;
         }
@@ -196,7 +208,8 @@
         let after_ms = millis(now.saturating_sub(attempt.started_at));
         let caller_request_id = active.caller_request_id.clone();
         if let Some(view) = self.instances.get_mut(&instance) {
-            view.evidence.add(OVERDUE_FAILURES, OVERDUE_FAILURES, now);
+            view.note_attempts(OVERDUE_FAILURES, OVERDUE_FAILURES, now);
+            self.report_urgent = true;
         }
         let hedged = !answered && idempotent && self.try_again(request, true);
         self.record(Record::Overdue { request: caller_request_id, instance, after_ms, hedged });
@@ -251,6 +264,13 @@
     }
 }
 
+impl InstanceView {
+    fn note_attempts(&mut self, attempts: f64, failures: f64, now: Duration) {
+        self.evidence.add(attempts, failures, now);
+        self.lasting_evidence.add(attempts, failures, now);
+    }
+}
+
 fn promises_not_run(status: u16) -> bool {
     NOT_RUN_STATUSES.contains(&status)
 }
--- a/crates/gateway/src/gateway/beliefs.rs
+++ b/crates/gateway/src/gateway/beliefs.rs
@@ -6,7 +6,7 @@
 
 use super::Gateway;
 use super::state::{Due, InstanceView};
-use crate::balance::Evidence;
+use crate::balance::{Evidence, LastingEvidence};
 use crate::{Configuration, Effect, Instance, InstanceState, Record};
 
 /// How often members that are silent are looked for.
@@ -149,6 +149,7 @@
 
     pub(super) fn keep_house(&mut self) {
         self.timers.arm(self.now + HOUSEKEEPING_INTERVAL, Due::Housekeeping);
+        self.fleet.forget_faded(self.now);
         if self.store_back_at.is_none() {
             return;
         }
@@ -167,6 +168,7 @@
             misdirected: false,
             in_flight: 0,
             evidence: Evidence::default(),
+            lasting_evidence: LastingEvidence::default(),
             connected_at: None,
             full_at: None,
             stated_load: None,
--- a/crates/gateway/src/gateway/customers.rs
+++ b/crates/gateway/src/gateway/customers.rs
@@ -106,12 +106,17 @@
         spent
     }
 
+    /// Returns the requests for a service that the heard hosts get, a second.
+    pub(super) fn service_demand(&mut self, service: &str) -> f64 {
+        let now = self.now;
+        let others = self.fleet.demand(repeats_id(service), now);
+        others + self.service(service).repeats.demand(now)
+    }
+
     /// Returns how many repeats a service may get: a share of the requests of the heard hosts.
     /// That is the heard part already, which the bucket would take a second time.
     fn repeats_rate(&mut self, service: &str, heard_share: f64) -> SharedRate {
-        let now = self.now;
-        let others = self.fleet.demand(repeats_id(service), now);
-        let demand = others + self.service(service).repeats.demand(now);
+        let demand = self.service_demand(service);
         let share = REPEATS_SPENT_SHARE * self.settings.repeat_share;
         SharedRate {
             per_second: demand * share / heard_share,
--- a/crates/gateway/src/gateway/placing.rs
+++ b/crates/gateway/src/gateway/placing.rs
@@ -29,6 +29,19 @@
 /// The probability of failure from which the log calls an instance avoided.
 const AVOIDED_PROBABILITY: f64 = 0.2;
 
+/// How often all hosts together try an instance that nobody has tried for a while, a second. With
+/// a quarter of the requests repeatable, each is tried within two seconds nearly always.
+const EXPLORATIONS_PER_SECOND: f64 = 5.0;
+
+/// Whether a request may be used to try an instance that nobody has tried for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Exploration {
+    /// Now and then, by the rate of requests.
+    Sometimes,
+    /// Never: another attempt should succeed.
+    Never,
+}
+
 /// An instance that was chosen.
 pub(super) struct Chosen {
     id: InstanceId,
@@ -39,7 +52,7 @@
 impl Gateway {
     /// Sends a request for the first time, or turns it away at once.
     pub(super) fn place_first(&mut self, request: RequestId) {
-        let Some(chosen) = self.choose(request) else {
+        let Some(chosen) = self.choose(request, Exploration::Sometimes) else {
             let wait = self.spread(RETRY_WITHOUT_INSTANCE);
             let input = "no instance is ready".to_owned();
             self.refuse(request, RefusalReason::NoInstance, Some(wait), input);
@@ -70,10 +83,17 @@
     }
 
     /// Chooses an instance that the request has not tried.
-    pub(super) fn choose(&mut self, request: RequestId) -> Option<Chosen> {
+    pub(super) fn choose(
+        &mut self,
+        request: RequestId,
+        exploration: Exploration,
+    ) -> Option<Chosen> {
         let active = self.requests.get(&request)?;
+        // The last attempt that is allowed must not fail, whether or not it may run again.
+        let is_last = !active.idempotent || active.runs + 1 >= active.attempts_max;
         let now = self.now;
-        let service = self.services.get(&active.service)?;
+        let service_id = active.service.clone();
+        let service = self.services.get(&service_id)?;
         let sums = self.fleet.instance_sums(now);
         let mut ids = Vec::new();
         let mut candidates = Vec::new();
@@ -88,12 +108,19 @@
             let own = view.evidence.at(now);
             fleet.add(own.attempts, own.failures, now);
             let known = f64::from(view.in_flight) + sum.in_flight;
+            let mut probability = failure_probability(&own, &fleet);
+            if is_last {
+                let mut fleet = self.fleet.lasting_evidence(short_id(id), now);
+                let own = view.lasting_evidence.at(now);
+                fleet.add(own.attempts, own.failures, now);
+                probability = probability.max(failure_probability(&own, &fleet));
+            }
             ids.push(id.clone());
             candidates.push(Candidate {
                 in_flight: known.max(view.stated_load(now)),
                 slots: f64::from(view.instance.slots),
                 service_time_s: service.service_time_s,
-                failure_probability: failure_probability(&own, &fleet),
+                failure_probability: probability,
                 same_data_centre: view.instance.data_centre == self.settings.data_centre,
                 cold: now < view.cold_until,
                 full: view.full_at.is_some_and(|at| now < at + FULL_MEMORY),
@@ -101,14 +128,32 @@
                 connected: view.connected_at.is_some_and(|at| now < at + CONNECTION_MEMORY),
             });
         }
-        let idempotent = active.idempotent;
-        let placement = Placement::choose(&candidates, idempotent, &mut self.random)?;
+        if !is_last && !self.may_explore(&service_id, exploration, &candidates) {
+            candidates.iter_mut().for_each(|candidate| candidate.untried = false);
+        }
+        let placement = Placement::choose(&candidates, !is_last, &mut self.random)?;
         let candidate = candidates[placement.index];
         self.record_avoided(&ids, &candidates);
         let id = ids.swap_remove(placement.index);
         Some(Chosen { id, candidate, estimate_s: placement.estimate_s })
     }
 
+    /// Decides whether a request may try an instance that nobody has tried for a while. All hosts
+    /// meet the same instances, so each explores with the chance that makes the rate right.
+    fn may_explore(
+        &mut self,
+        service: &str,
+        exploration: Exploration,
+        candidates: &[Candidate],
+    ) -> bool {
+        let untried = candidates.iter().filter(|candidate| candidate.untried).count();
+        if exploration == Exploration::Never || untried == 0 {
+            return false;
+        }
+        let demand = self.service_demand(service);
+        self.random.unit() * demand < untried as f64 * EXPLORATIONS_PER_SECOND
+    }
+
     /// Writes to the log which instances are avoided from now on, or no longer.
     fn record_avoided(&mut self, ids: &[InstanceId], candidates: &[Candidate]) {
         for (id, candidate) in ids.iter().zip(candidates) {
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -13,10 +13,15 @@
 
 /// The least time between two reports to the own data centre.
 const NEAR_INTERVAL: Duration = Duration::from_millis(100);
+/// The least time between two reports when an instance was seen to fail, so that other hosts do
+/// not send to it meanwhile.
+const URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// The most time between two reports, well below their lifetime.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 /// The time between two reports to other data centres.
 const FAR_INTERVAL: Duration = Duration::from_millis(200);
+/// The least time between two reports to other data centres when there are failures to tell.
+const FAR_URGENT_INTERVAL: Duration = Duration::from_millis(100);
 /// Evidence below this many attempts is not reported.
 const EVIDENCE_MIN: f64 = 0.05;
 /// Demand below this many requests a second is not reported.
@@ -25,8 +30,11 @@
 /// Receiving.
 impl Gateway {
     pub(super) fn on_report(&mut self, report: Report) {
-        let new = self.fleet.on_report(report, self.now);
-        self.subtract(new);
+        let news = self.fleet.on_report(report, self.now);
+        self.subtract(news.admissions);
+        if news.failures && self.fleet.speaks_for_data_centre(self.now) {
+            self.pass_on_failures();
+        }
         let heard = self.fleet.heard(self.now);
         if heard != self.heard_before {
             self.heard_before = heard;
@@ -55,21 +63,46 @@
 impl Gateway {
     /// Notes that peers would decide differently if they knew what this host knows.
     pub(super) fn note_change(&mut self) {
-        if !self.report_due {
-            self.report_due = true;
+        self.report_due = true;
+        if self.report_urgent
+            && !self.far_report_urgent
+            && self.fleet.speaks_for_data_centre(self.now)
+        {
+            self.hasten_far_report();
         }
-        let at = (self.reported_at + NEAR_INTERVAL).max(self.now);
+        let at = (self.reported_at + self.near_interval()).max(self.now);
         self.timers.arm(at, Due::NearReport);
     }
 
+    /// Brings forward the reports of a host that speaks for its data centre: to the others of it,
+    /// which have not heard what came from outside, and to other data centres.
+    fn pass_on_failures(&mut self) {
+        if self.fleet.has_sections_to_pass_on() {
+            self.report_urgent = true;
+            self.note_change();
+        }
+        self.hasten_far_report();
+    }
+
+    fn hasten_far_report(&mut self) {
+        self.far_report_urgent = true;
+        let last = self.far_reported_at.unwrap_or_default();
+        self.timers.arm((last + FAR_URGENT_INTERVAL).max(self.now), Due::FarReport);
+    }
+
+    fn near_interval(&self) -> Duration {
+        if self.report_urgent { URGENT_INTERVAL } else { NEAR_INTERVAL }
+    }
+
     pub(super) fn report_near(&mut self) {
         let due = self.now >= self.reported_at + HEARTBEAT
-            || (self.report_due && self.now >= self.reported_at + NEAR_INTERVAL);
+            || (self.report_due && self.now >= self.reported_at + self.near_interval());
         if !due && self.report_sequence > 0 {
             return;
         }
         self.reported_at = self.now;
         self.report_due = false;
+        self.report_urgent = false;
         let to = self.fleet.near_addresses();
         let own = self.own_section();
         let data_centres = self.fleet.take_to_pass_on(self.now);
@@ -78,6 +111,12 @@
     }
 
     pub(super) fn report_far(&mut self) {
+        let interval = if self.far_report_urgent { FAR_URGENT_INTERVAL } else { FAR_INTERVAL };
+        if self.far_reported_at.is_some_and(|last| self.now < last + interval) {
+            return;
+        }
+        self.far_report_urgent = false;
+        self.far_reported_at = Some(self.now);
         self.timers.arm(self.now + FAR_INTERVAL, Due::FarReport);
         if !self.fleet.speaks_for_data_centre(self.now) {
             return;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -9,7 +9,7 @@
     Timers,
 };
 
-use crate::balance::Evidence;
+use crate::balance::{Evidence, LastingEvidence};
 use crate::fleet::Fleet;
 use crate::limits::SharedBucket;
 use crate::request::ActiveRequest;
@@ -75,6 +75,7 @@
     /// This host's own requests under way.
     pub(super) in_flight: u32,
     pub(super) evidence: Evidence,
+    pub(super) lasting_evidence: LastingEvidence,
     /// When an exchange last left a connection behind.
     pub(super) connected_at: Option<Duration>,
     /// When the instance last turned a request away as full.
@@ -117,7 +118,12 @@
     pub(super) report_sequence: u64,
     /// Whether something changed since the last report to the own data centre.
     pub(super) report_due: bool,
+    /// Whether peers should learn at once what has changed since the last report.
+    pub(super) report_urgent: bool,
     pub(super) reported_at: Duration,
+    /// Whether other data centres should learn soon of failures.
+    pub(super) far_report_urgent: bool,
+    pub(super) far_reported_at: Option<Duration>,
     pub(super) far_turn: usize,
     pub(super) heard_before: u32,
     pub(super) stopping: bool,
@@ -146,7 +152,10 @@
             store_back_at: Some(Duration::ZERO),
             report_sequence: 0,
             report_due: false,
+            report_urgent: false,
             reported_at: Duration::ZERO,
+            far_report_urgent: false,
+            far_reported_at: None,
             far_turn: 0,
             heard_before: 0,
             stopping: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,8 @@
 mod request;
 
 pub use balance::{
-    Candidate, Evidence, Patience, Placement, completion_estimate, failure_probability,
+    Candidate, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
+    failure_probability,
 };
 pub use configuration::{CallerLimits, Configuration, Customer, Route, ServiceSpec, Target};
 pub use effect::Effect;
--- a/crates/gateway/tests/suite/attempts.rs
+++ b/crates/gateway/tests/suite/attempts.rs
@@ -99,6 +99,33 @@
     assert_eq!(bench.delivered(), Some(second));
 }
 
+#[test]
+fn the_last_attempt_tries_no_instance_that_nobody_has_tried_for_a_while() {
+    let mut bench = Bench::new(3);
+    let mut ill = None;
+    for _ in 0..30 {
+        bench.ask("/lookup/1", KEY);
+        let (attempt, chosen) = bench.only_sent();
+        let ill = ill.get_or_insert_with(|| chosen.clone());
+        let result = if chosen == *ill { answer(500, true) } else { answer(200, true) };
+        bench.end(attempt, result);
+        for (attempt, _) in bench.sent() {
+            bench.end(attempt, answer(200, true));
+        }
+        bench.pass(Duration::from_millis(50));
+    }
+    bench.pass(Duration::from_secs(2));
+    for _ in 0..10 {
+        bench.ask("/lookup/1", KEY);
+        let (first, chosen) = bench.only_sent();
+        bench.end(first, answer(500, true));
+        for (second, other) in bench.sent() {
+            assert!(Some(&other) != ill.as_ref() || Some(&chosen) == ill.as_ref());
+            bench.end(second, answer(200, true));
+        }
+    }
+}
+
 #[test]
 fn a_caller_that_leaves_ends_lookups_and_no_orders() {
     let mut bench = Bench::new(3);
--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ebonytack_gateway::{Event, Gateway, Record};
+use ebonytack_gateway::{AttemptResult, Event, Gateway, Record, Report};
 
 use crate::support::{Bench, answer, configuration, failed, instance, member, reports, settings};
 
@@ -60,6 +60,55 @@
     }
 }
 
+#[test]
+fn a_failure_is_reported_at_once() {
+    let mut bench = second();
+    bench.pass(Duration::from_millis(500));
+    bench.ask("/order/1", KEY);
+    let (attempt, _) = bench.only_sent();
+    bench.pass(Duration::from_millis(30));
+    bench.end(attempt, answer(500, true));
+    let mut told = reports(&bench.effects);
+    told.extend(reports(&bench.pass(Duration::from_millis(20))));
+    let failures = |report: &Report| report.own.instances.iter().map(|i| i.failures).sum::<f32>();
+    assert!(told.iter().any(|report| failures(report) > 0.9), "{told:?}");
+}
+
+#[test]
+fn an_address_that_another_instance_has_is_avoided_by_all_hosts() {
+    let (mut bench, mut other) = (Bench::new(2), second());
+    other.ask("/lookup/1", KEY);
+    let (attempt, elsewhere) = other.only_sent();
+    other.end(attempt, AttemptResult::TurnedAway { wrong_instance: true, load: None });
+    let told = reports(&other.pass(Duration::from_millis(200)));
+    bench.feed(Event::Report(told.last().expect("a report").clone()));
+    for _ in 0..6 {
+        bench.ask("/order/1", KEY);
+        assert_ne!(bench.only_sent().1, elsewhere);
+    }
+}
+
+#[test]
+fn orders_remember_failures_that_others_saw_longer_than_lookups_do() {
+    let (mut bench, mut other) = (Bench::new(2), second());
+    let mut ill = None;
+    for _ in 0..6 {
+        other.ask("/order/1", KEY);
+        let (attempt, chosen) = other.only_sent();
+        let ill = ill.get_or_insert_with(|| chosen.clone());
+        let result = if chosen == *ill { failed(true) } else { answer(200, true) };
+        other.end(attempt, result);
+        let told = reports(&other.pass(Duration::from_millis(200)));
+        told.into_iter().for_each(|report| bench.feed(Event::Report(report)));
+    }
+    bench.pass(Duration::from_secs(5));
+    // The good instance is busy enough that only the memory of the failure speaks for it.
+    for _ in 0..6 {
+        bench.ask("/order/1", KEY);
+        assert_ne!(Some(bench.only_sent().1), ill);
+    }
+}
+
 #[test]
 fn repeated_overtaken_and_own_reports_change_nothing() {
     let mut bench = Bench::new(2);
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -22,6 +22,8 @@
     pub(crate) mute: bool,
     /// The share of requests that end with an error.
     pub(crate) errors: f64,
+    /// The share of requests that end with an error at once.
+    pub(crate) errors_at_once: f64,
     /// The share of requests that are turned away.
     pub(crate) shed: f64,
 }
--- a/crates/model/src/pattern.rs
+++ b/crates/model/src/pattern.rs
@@ -36,6 +36,16 @@
         /// The share of their requests.
         rate: f64,
     },
+    /// Some instances answer some requests with errors at once, so that they look idle; after a
+    /// while others do so in their place.
+    Spells {
+        /// The share of the instances.
+        share: f64,
+        /// The share of their requests.
+        rate: f64,
+        /// How long an instance fails.
+        length: Duration,
+    },
     /// All instances turn requests away though slots are free.
     Shed {
         /// The share of the requests.
@@ -55,6 +65,9 @@
     },
 }
 
+const GRAY_SPELLS: Trouble =
+    Trouble::Spells { share: 0.1, rate: 0.6, length: Duration::from_millis(2_500) };
+
 /// One experiment.
 #[derive(Clone, Copy, Debug)]
 pub struct Pattern {
@@ -107,12 +120,14 @@
             Self::co_op("half-slow", 110.0, Trouble::Slow { share: 0.5, factor: 12.0 }),
             Self::co_op("half-mute", 110.0, Trouble::Mute { share: 0.5 }),
             Self::co_op("some-errors", 110.0, Trouble::Errors { share: 0.3, rate: 0.75 }),
+            Self::co_op("gray-spells", 110.0, GRAY_SPELLS),
             Self::co_op("shed-half", 110.0, Trouble::Shed { rate: 0.55 }),
             Self::co_op("restart", 110.0, Trouble::Restart),
             Self::co_op("hot-restart", 110.0, Trouble::HotRestart { factor: 8.0 }),
             Self::co_op("hot-silence", 110.0, Trouble::HotSilence { factor: 8.0 }),
             Self::grown("grown-calm", 900.0, Trouble::None),
             Self::grown("grown-errors", 900.0, Trouble::Errors { share: 0.3, rate: 0.75 }),
+            Self::grown("grown-spells", 900.0, GRAY_SPELLS),
         ]
     }
 }
--- a/crates/model/src/world/instances.rs
+++ b/crates/model/src/world/instances.rs
@@ -5,7 +5,7 @@
 use ebonytack_gateway::{AttemptResult, UpstreamAnswer};
 
 use super::names::{delay, key};
-use super::state::{Happening, Sent, WORK_MEAN_S, World};
+use super::state::{ERROR_DELAY, Happening, Sent, WORK_MEAN_S, World};
 use crate::instance::{Admitted, Ills, Work};
 use crate::pattern::Trouble;
 
@@ -22,6 +22,10 @@
             Trouble::Errors { share, rate } => {
                 (ill(share), Ills { errors: rate, ..Ills::default() })
             }
+            Trouble::Spells { .. } => {
+                self.begin_spell();
+                return;
+            }
             Trouble::Shed { rate } => (count, Ills { shed: rate, ..Ills::default() }),
             Trouble::Restart | Trouble::HotRestart { .. } => {
                 for host in 0..self.hosts.len() {
@@ -37,6 +41,21 @@
         self.instances.iter_mut().take(ill).for_each(|instance| instance.ills = ills);
     }
 
+    /// Lets other instances fail than before.
+    pub(super) fn begin_spell(&mut self) {
+        let Trouble::Spells { share, rate, length } = self.pattern.trouble else { return };
+        self.instances.iter_mut().for_each(|instance| instance.ills = Ills::default());
+        if !self.in_trouble() {
+            return;
+        }
+        let count = (share * self.instances.len() as f64).round() as usize;
+        for _ in 0..count {
+            let index = self.random.below(self.instances.len());
+            self.instances[index].ills = Ills { errors_at_once: rate, ..Ills::default() };
+        }
+        self.calendar.add(self.now + length, Happening::NextSpell);
+    }
+
     pub(super) fn on_arrival_at(&mut self, index: usize, sent: Sent) {
         let Sent { work, call, try_number, first } = sent;
         if first {
@@ -91,6 +110,12 @@
         if ills.mute {
             return;
         }
+        if self.random.unit() < ills.errors_at_once {
+            self.failing.insert(key(&work));
+            let at = self.now + ERROR_DELAY;
+            self.calendar.add(at, Happening::WorkEnds { instance: index, work });
+            return;
+        }
         let spread = 0.4 - 0.6 * (1.0 - self.random.unit()).ln();
         let work_s = WORK_MEAN_S * spread * ills.slow.max(1.0);
         let at = self.now + Duration::from_secs_f64(work_s);
@@ -106,7 +131,8 @@
         if !known {
             return;
         }
-        let failed = self.random.unit() < self.instances[index].ills.errors;
+        let failed = self.failing.remove(&key(&work))
+            || self.random.unit() < self.instances[index].ills.errors;
         let answer = UpstreamAnswer {
             status: if failed { 500 } else { 200 },
             signed: true,
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -6,7 +6,7 @@
 mod names;
 mod state;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use ebonytack_core::Random;
@@ -44,6 +44,7 @@
             instances: (0..instances).map(|_| ModelInstance::default()).collect(),
             calls: Vec::new(),
             work_calls: HashMap::new(),
+            failing: HashSet::new(),
             repeats: Vec::new(),
             first_sends: Vec::new(),
             hot_runs: Vec::new(),
@@ -96,6 +97,7 @@
             Happening::TroubleEnds => {
                 self.instances.iter_mut().for_each(|i| i.ills = Ills::default());
             }
+            Happening::NextSpell => self.begin_spell(),
             Happening::Restarted { host } => {
                 self.hosts[host] = self.host(host, self.hosts[host].process + 1);
                 self.introduce(host);
--- a/crates/model/src/world/state.rs
+++ b/crates/model/src/world/state.rs
@@ -1,6 +1,6 @@
 //! The state of a run, and the sizes and times of the model.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use ebonytack_core::Random;
@@ -28,6 +28,8 @@
 pub(super) const REPORT_LOSS: f64 = 0.01;
 /// How long the hosts have before traffic starts.
 pub(super) const LEAD: Duration = Duration::from_secs(2);
+/// How long an instance takes for an error at once.
+pub(super) const ERROR_DELAY: Duration = Duration::from_millis(3);
 pub(super) const DOWN_TIME: Duration = Duration::from_millis(800);
 pub(super) const CALLER_TRIES_MAX: u32 = 4;
 pub(super) const REPEAT_SHARE: f64 = 0.2;
@@ -51,6 +53,7 @@
     TroubleBegins,
     TroubleEnds,
     Restarted { host: usize },
+    NextSpell,
 }
 
 /// A request on its way to an instance.
@@ -115,6 +118,8 @@
     pub(super) instances: Vec<ModelInstance>,
     pub(super) calls: Vec<Call>,
     pub(super) work_calls: HashMap<(usize, u64, u64), (usize, u32)>,
+    /// The work that ends with an error.
+    pub(super) failing: HashSet<(usize, u64, u64)>,
     pub(super) repeats: Vec<Duration>,
     pub(super) first_sends: Vec<Duration>,
     pub(super) hot_runs: Vec<Duration>,
