--- a/crates/gateway/tests/suite/placement.rs
+++ b/crates/gateway/tests/suite/placement.rs
@@ -4,7 +4,8 @@
 
 use ebonytack_core::Random;
 use ebonytack_gateway::{
-    Candidate, Evidence, Patience, Placement, completion_estimate, failure_probability,
+    Candidate, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
+    failure_probability,
 };
 
 const IDLE: Candidate = Candidate {
@@ -99,6 +100,24 @@
     assert!(!short.admits(0.4), "what cannot be done in time is not begun");
 }
 
+#[test]
+fn successes_before_a_spell_of_failures_do_not_hide_it() {
+    let now = Duration::from_secs(10);
+    let mut seen = LastingEvidence::default();
+    seen.add_spell(40.0, 0.0, now);
+    let well = failure_probability(&LastingEvidence::default(), &seen);
+    seen.add_spell(1.0, 1.0, now);
+    let suspect = failure_probability(&LastingEvidence::default(), &seen);
+    seen.add_spell(1.0, 1.0, now);
+    let ill = failure_probability(&LastingEvidence::default(), &seen);
+    assert!(well <= 0.02 && suspect > 0.05 && ill > 0.2, "{well} {suspect} {ill}");
+    for _ in 0..6 {
+        seen.add_spell(1.0, 0.0, now);
+    }
+    let recovered = failure_probability(&LastingEvidence::default(), &seen);
+    assert!(recovered < ill * 0.7, "{recovered}");
+}
+
 #[test]
 fn evidence_fades_and_own_evidence_counts_for_itself() {
     let now = Duration::from_secs(10);
