feat(gateway): read the store's tables through one host a data centre

Ruled out: longer pauses (a leaving instance must be known in two seconds); changes as datagrams (a lost one needs a call, and a configuration does not fit).

Change: the first host by name of a data centre follows the tables and answers the others with the store's own reading calls, over TCP on the port for peers, signed with the fleet's secret. It answers only while the store confirmed its copy within two seconds. The others ask up to three hosts, then the store; a host that the store turns away asks hosts after it. A host that is not heard any more is left within 0.85 s, so a frozen reader costs no more than that. A row that could not be registered is written again with the next round. Changes are in force within 0.3 s and the reader's call, before 0.7 to 1.0 s.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -1,130 +1,233 @@
 //! Following the tables of the store.
 
-use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ebonytack_adapter::{
-    CONFIGURATION_KEY, Changes, Row, StoreErrorKind, Table, decode_configuration, decode_instance,
-    decode_member, encode_member,
+    CONFIGURATION_KEY, Changes, Row, StoreError, StoreErrorKind, Table, decode_configuration,
+    decode_instance, decode_member, encode_member,
 };
-use ebonytack_core::Random;
-use ebonytack_gateway::{Event, Member};
-use tokio::sync::Notify;
+use ebonytack_gateway::{Event, Member, Source};
 
 use super::shell::GatewayShell;
+use super::sources::SourceClients;
 
-/// How long a call waits for changes; the most that the store allows.
-const CHANGE_WAIT: Duration = Duration::from_secs(30);
-/// The time between two calls for changes; changes in between come together. Well below the time
-/// in which a change has to be in force.
-const CONFIGURATION_PAUSE: Duration = Duration::from_millis(700);
-const INSTANCES_PAUSE: Duration = Duration::from_millis(1_000);
-const MEMBERS_PAUSE: Duration = Duration::from_secs(3);
-/// The wait before the store is asked again while it is away. With the time for a connection it
-/// bounds how much later than its neighbours a host takes up work again.
-const RETRY_WAIT: Duration = Duration::from_millis(300);
-/// The longest wait of a table that leaves the asking to another one.
-const RETRY_WAIT_MAX: Duration = Duration::from_millis(2_500);
-
-/// Whether the store answers, over all tables that are followed.
-#[derive(Debug, Default)]
-pub(super) struct StoreHealth {
-    lost: Cell<bool>,
-    /// The table that asks again while the store is away; the others wait for it.
-    prober: Cell<Option<Table>>,
-    regained: Notify,
+/// How long a call of the store waits for changes. Each end of a wait confirms the copies of the
+/// hosts that read from this one.
+const STORE_WAIT: Duration = Duration::from_millis(1_000);
+/// That wait for members, whose changes are not urgent.
+const MEMBERS_STORE_WAIT: Duration = Duration::from_secs(4);
+/// What a call of the store may take besides its wait before its answer counts as old.
+const CONFIRMATION_SLACK: Duration = Duration::from_millis(1_000);
+/// How long a call of another host waits for changes. With the time after which a host that is not
+/// heard is left, it bounds how long a silent connection can hide changes.
+const PEER_WAIT: Duration = Duration::from_millis(1_500);
+/// That wait for members.
+const MEMBERS_PEER_WAIT: Duration = Duration::from_secs(4);
+/// The time between two calls of the store by a host that reads for others; changes in between
+/// come together. Well below the time in which a change has to be in force.
+const READER_PAUSE: Duration = Duration::from_millis(300);
+/// That time for hosts that only read for themselves.
+const LONE_PAUSE: Duration = Duration::from_millis(800);
+/// That time for members.
+const MEMBERS_PAUSE: Duration = Duration::from_secs(2);
+/// The time between two calls of another host.
+const PEER_PAUSE: Duration = Duration::from_millis(50);
+/// How often it is checked that the host that is asked is still heard.
+const HEARD_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a host that has just started waits to hear others that read in its place.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Returns how old the store's last answer may be when a host answers others.
+pub(super) fn confirmed_age_max(table: Table) -> Duration {
+    store_wait(table) + CONFIRMATION_SLACK
 }
 
-impl StoreHealth {
-    fn note_success(&self, shell: &Rc<GatewayShell>) {
-        if self.lost.replace(false) {
-            shell.feed(Event::StoreRegained);
-        }
-        if self.prober.take().is_some() {
-            self.regained.notify_waiters();
-        }
+fn store_wait(table: Table) -> Duration {
+    match table {
+        Table::Operator | Table::Instances => STORE_WAIT,
+        Table::Members => MEMBERS_STORE_WAIT,
     }
+}
 
-    fn note_failure(&self, shell: &Rc<GatewayShell>, table: Table) {
-        if !self.lost.replace(true) {
-            shell.feed(Event::StoreLost);
-        }
-        if self.prober.get().is_none() {
-            self.prober.set(Some(table));
-        }
+fn peer_wait(table: Table) -> Duration {
+    match table {
+        Table::Operator | Table::Instances => PEER_WAIT,
+        Table::Members => MEMBERS_PEER_WAIT,
     }
+}
 
-    /// Waits before a failed call is tried again.
-    async fn wait(&self, table: Table, random: &mut Random) {
-        if self.prober.get() == Some(table) {
-            tokio::time::sleep(RETRY_WAIT.mul_f64(0.5 + random.unit() / 2.0)).await;
-            return;
-        }
-        tokio::select! {
-            () = self.regained.notified() => {}
-            () = tokio::time::sleep(RETRY_WAIT_MAX) => {}
-        }
+/// Returns the time between two calls of the store.
+fn store_pause(table: Table, reads_for_others: bool) -> Duration {
+    match table {
+        Table::Members => MEMBERS_PAUSE,
+        Table::Operator | Table::Instances if reads_for_others => READER_PAUSE,
+        Table::Operator | Table::Instances => LONE_PAUSE,
     }
 }
 
 /// Follows one table for ever.
 pub(super) async fn follow(
     shell: Rc<GatewayShell>,
-    health: Rc<StoreHealth>,
+    clients: Rc<SourceClients>,
     table: Table,
     member: Member,
-    mut random: Random,
 ) {
-    let mut version = None;
+    let mut follower = Follower { shell, clients, table, version: None, newest: 0, source: None };
     loop {
-        let whole = version.is_none();
-        let read = match version {
-            None => shell.store.all(table).await,
-            // While the store is away a call must show at once whether it is back.
+        let pause = follower.round().await;
+        if table == Table::Members && follower.version.is_some() {
+            register(&follower.shell, &member).await;
+        }
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// The state of following one table.
+struct Follower {
+    shell: Rc<GatewayShell>,
+    clients: Rc<SourceClients>,
+    table: Table,
+    /// The version up to which changes are known; `None` when all rows have to be read.
+    version: Option<u64>,
+    /// The newest version that was read. Invariant: never falls.
+    newest: u64,
+    source: Option<Source>,
+}
+
+impl Follower {
+    /// Reads once and returns how long to wait before the next time.
+    async fn round(&mut self) -> Duration {
+        let source = match self.clients.choose(&self.shell) {
+            Ok(source) => source,
+            Err(wait) => return wait,
+        };
+        self.note_source(source);
+        let read = match source {
+            Source::Store => self.read_store().await,
+            Source::Peer(address) => match self.read_peer(address).await {
+                Some(read) => read,
+                None => {
+                    log::info!("store: {address} is not heard any more.");
+                    self.clients.note_failure(&self.shell, source);
+                    return Duration::ZERO;
+                }
+            },
+        };
+        match read {
+            Ok(changes) => self.take(source, &changes),
+            Err(error) => self.note_error(source, &error),
+        }
+    }
+
+    async fn read_store(&self) -> Result<Changes, StoreError> {
+        match self.version {
+            None => self.shell.store.all(self.table).await,
             Some(version) => {
-                let wait = if health.lost.get() { Duration::ZERO } else { CHANGE_WAIT };
-                shell.store.changes(table, version, wait).await
+                // While the store is away a call must show at once whether it is back.
+                let lost = self.clients.is_lost();
+                let wait = if lost { Duration::ZERO } else { store_wait(self.table) };
+                self.shell.store.changes(self.table, version, wait).await
+            }
+        }
+    }
+
+    /// Reads from another host, as long as that one is heard.
+    async fn read_peer(&self, address: SocketAddr) -> Option<Result<Changes, StoreError>> {
+        let client = self.clients.peer(address);
+        let read = async {
+            match self.version {
+                None => client.all(self.table).await,
+                Some(version) => client.changes(self.table, version, peer_wait(self.table)).await,
             }
         };
-        match read {
-            Ok(changes) => {
-                health.note_success(&shell);
-                version = Some(changes.version);
-                let changed = !changes.rows.is_empty();
-                take(&shell, table, whole, &changes);
-                if table == Table::Members {
-                    register(&shell, whole, &changes, &member).await;
+        let unheard = async {
+            loop {
+                tokio::time::sleep(HEARD_INTERVAL).await;
+                let readers = self.shell.readers();
+                if !readers.before.contains(&address) && !readers.after.contains(&address) {
+                    return;
                 }
-                if changed {
-                    tokio::time::sleep(pause(table)).await;
+            }
+        };
+        tokio::select! {
+            read = read => Some(read),
+            () = unheard => None,
+        }
+    }
+
+    fn take(&mut self, source: Source, changes: &Changes) -> Duration {
+        let whole = self.version.is_none();
+        if whole && changes.version < self.newest {
+            // The host that was asked has read less than this one.
+            self.clients.note_refusal(&self.shell, source);
+            return PEER_PAUSE;
+        }
+        self.clients.note_success(&self.shell, source);
+        self.version = Some(changes.version.max(self.newest));
+        self.newest = self.newest.max(changes.version);
+        let copy = self.shell.copy(self.table);
+        copy.take(changes, whole);
+        feed(&self.shell, self.table, whole, changes);
+        match source {
+            Source::Peer(_) => PEER_PAUSE,
+            Source::Store => {
+                copy.confirm();
+                let readers = self.shell.readers();
+                match whole {
+                    true => FIRST_PAUSE,
+                    false if changes.rows.is_empty() => Duration::ZERO,
+                    false => store_pause(self.table, readers.before.is_empty()),
                 }
             }
-            Err(error) if error.kind() == StoreErrorKind::HistoryGone => {
-                log::info!("store: the history of {table:?} is gone; all rows are read again.");
-                version = None;
+        }
+    }
+
+    fn note_error(&mut self, source: Source, error: &StoreError) -> Duration {
+        let kind = error.kind();
+        if kind == StoreErrorKind::HistoryGone {
+            log::info!("store: the history of {:?} is gone; all rows are read again.", self.table);
+            self.version = None;
+            return Duration::ZERO;
+        }
+        metrics::counter!("ebonytack_store_failures_total", "kind" => kind.name()).increment(1);
+        match source {
+            Source::Peer(_) if kind == StoreErrorKind::Busy => {
+                self.clients.note_refusal(&self.shell, source);
             }
-            Err(error) => {
-                let kind = error.kind().name();
-                metrics::counter!("ebonytack_store_failures_total", "kind" => kind).increment(1);
-                log::warn!("store: {table:?}: {error}.");
-                health.note_failure(&shell, table);
-                health.wait(table, &mut random).await;
+            _ => {
+                log::warn!("store: {:?} from {}: {error}.", self.table, name(source));
+                self.clients.note_failure(&self.shell, source);
             }
         }
+        if source == Source::Store {
+            self.shell.copy(self.table).lose();
+        }
+        Duration::ZERO
+    }
+
+    /// Writes to the log from whom a table is read from now on.
+    fn note_source(&mut self, source: Source) {
+        if self.source != Some(source) {
+            if self.source == Some(Source::Store) {
+                self.shell.copy(self.table).lose();
+            }
+            self.source = Some(source);
+            log::info!("store: {:?} is read from {}.", self.table, name(source));
+        }
     }
 }
 
-fn pause(table: Table) -> Duration {
-    match table {
-        Table::Operator => CONFIGURATION_PAUSE,
-        Table::Instances => INSTANCES_PAUSE,
-        Table::Members => MEMBERS_PAUSE,
+fn name(source: Source) -> String {
+    match source {
+        Source::Peer(address) => address.to_string(),
+        Source::Store => "the store".to_owned(),
     }
 }
 
 /// Feeds what was read. Rows that cannot be read name nothing to use.
-fn take(shell: &Rc<GatewayShell>, table: Table, whole: bool, changes: &Changes) {
+fn feed(shell: &Rc<GatewayShell>, table: Table, whole: bool, changes: &Changes) {
     match table {
         Table::Operator => take_configuration(shell, &changes.rows),
         Table::Instances if whole => {
@@ -192,7 +295,7 @@
 }
 
 /// Writes this host's row when the store has another one, or none.
-async fn register(shell: &Rc<GatewayShell>, whole: bool, changes: &Changes, member: &Member) {
+async fn register(shell: &Rc<GatewayShell>, member: &Member) {
     let value = match encode_member(member) {
         Ok(value) => value,
         Err(error) => {
@@ -200,12 +303,7 @@
             return;
         }
     };
-    let own = changes.rows.iter().rev().find(|row| row.key == member.name);
-    let registered = match own {
-        Some(row) => row.value.as_deref() == Some(value.as_slice()),
-        None => !whole,
-    };
-    if registered {
+    if shell.copy(Table::Members).value(&member.name).is_some_and(|stored| stored == value) {
         return;
     }
     match shell.store.put_member(&member.name, &value).await {
--- a/crates/ebonytack/src/gateway/mod.rs
+++ b/crates/ebonytack/src/gateway/mod.rs
@@ -6,10 +6,13 @@
 mod log_queue;
 mod pool;
 mod ready;
+mod relay;
 mod reports;
 mod serve;
 mod settings;
 mod shell;
+mod sources;
+mod table_copy;
 
 pub(crate) use serve::run;
 pub(crate) use settings::GatewayFile;
--- a/crates/ebonytack/src/gateway/reports.rs
+++ b/crates/ebonytack/src/gateway/reports.rs
@@ -24,10 +24,10 @@
 
 impl ReportSocket {
     /// Opens the socket.
-    pub(super) async fn open(address: SocketAddr, secret: &str) -> Result<Self> {
+    pub(super) async fn open(address: SocketAddr, secret: FleetSecret) -> Result<Self> {
         let socket =
             UdpSocket::bind(address).await.wrap_err(format!("cannot listen on {address}"))?;
-        Ok(Self { socket: Rc::new(socket), secret: FleetSecret::new(secret) })
+        Ok(Self { socket: Rc::new(socket), secret })
     }
 
     /// Sends a report to all of `to`; what the socket cannot take now is lost.
--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -6,22 +6,26 @@
 use ebonytack_adapter::Table;
 use ebonytack_core::{Random, hash_text};
 use ebonytack_gateway::{Event, Gateway, GatewaySettings, Member};
+use ebonytack_wire::FleetSecret;
 use eyre::Result;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::follow::{StoreHealth, follow};
+use super::follow::follow;
 use super::log_queue::LogQueue;
 use super::pool::SWEEP_INTERVAL;
 use super::reports::ReportSocket;
 use super::settings::GatewayFile;
 use super::shell::GatewayShell;
-use super::{callers, ready};
+use super::sources::SourceClients;
+use super::{callers, ready, relay};
 use crate::observe;
 use crate::runtime::accept_loop;
 
 /// The most connections of the balancer.
 const READY_CONNECTIONS_MAX: usize = 64;
+/// The most connections of other hosts, which keep three each.
+const PEER_CONNECTIONS_MAX: usize = 2_048;
 /// How often the settings file is read, since it may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a stopping host still takes requests, until the balancer has noticed: two questions
@@ -43,7 +47,8 @@
 async fn serve(file: GatewayFile, log: LogQueue, metrics: PrometheusHandle) -> Result<()> {
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
-    let reports = ReportSocket::open(file.peers, &file.fleet_secret).await?;
+    let secret = FleetSecret::new(&file.fleet_secret);
+    let reports = ReportSocket::open(file.peers, secret.clone()).await?;
     let gateway = Gateway::new(gateway_settings(&file, incarnation));
     let member = Member {
         name: file.name.clone(),
@@ -55,17 +60,17 @@
     accept_loop(file.callers, file.caller_connections, callers).await?;
     let ready = ready::service(&shell, metrics).await?;
     accept_loop(file.ready, READY_CONNECTIONS_MAX, ready).await?;
+    let peers = relay::service(&shell, secret.clone()).await?;
+    accept_loop(file.peers, PEER_CONNECTIONS_MAX, peers).await?;
     log::info!("start: serves on {}, process {incarnation}.", file.callers);
     actix_rt::spawn(Rc::clone(&shell).tick_loop());
     actix_rt::spawn(reports.receive_loop(Rc::clone(&shell)));
     actix_rt::spawn(sweep_loop(Rc::clone(&shell)));
     actix_rt::spawn(reload_loop(Rc::clone(&shell)));
-    let health = Rc::new(StoreHealth::default());
-    for (seed, table) in [Table::Operator, Table::Instances, Table::Members].into_iter().enumerate()
-    {
-        let random = Random::new(hash_text(&file.name) ^ seed as u64);
-        let health = Rc::clone(&health);
-        actix_rt::spawn(follow(Rc::clone(&shell), health, table, member.clone(), random));
+    let random = Random::new(hash_text(&file.name));
+    let clients = Rc::new(SourceClients::new(random, relay::credential(&secret)));
+    for table in [Table::Operator, Table::Instances, Table::Members] {
+        actix_rt::spawn(follow(Rc::clone(&shell), Rc::clone(&clients), table, member.clone()));
     }
     shell.feed(Event::Tick);
     wait_for_stop(&shell).await?;
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ebonytack_adapter::Store;
+use ebonytack_adapter::{Store, Table};
 use ebonytack_core::{AttemptId, Refusal, RequestId};
-use ebonytack_gateway::{Arrival, Effect, Event, Gateway};
+use ebonytack_gateway::{Arrival, Effect, Event, Gateway, Readers};
 use ebonytack_http::Answer;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
@@ -17,6 +17,7 @@
 use super::pool::Pool;
 use super::reports::ReportSocket;
 use super::settings::GatewayFile;
+use super::table_copy::TableCopy;
 use crate::observe;
 
 /// What a caller gets.
@@ -27,6 +28,14 @@
     Refuse(Refusal),
 }
 
+/// The copies of all tables.
+#[derive(Default)]
+struct TableCopies {
+    operator: TableCopy,
+    instances: TableCopy,
+    members: TableCopy,
+}
+
 /// The runtime's state around one reducer.
 pub(super) struct GatewayShell {
     gateway: RefCell<Gateway>,
@@ -34,6 +43,7 @@
     pub(super) settings: RefCell<GatewayFile>,
     pub(super) pool: Pool,
     pub(super) store: Store,
+    copies: TableCopies,
     reports: ReportSocket,
     pub(super) log: LogQueue,
     callers: RefCell<HashMap<RequestId, oneshot::Sender<CallerAnswer>>>,
@@ -62,6 +72,7 @@
             gateway: RefCell::new(gateway),
             started_at: Instant::now(),
             store: Store::new(settings.store),
+            copies: TableCopies::default(),
             settings: RefCell::new(settings),
             pool: Pool::default(),
             reports,
@@ -79,6 +90,25 @@
         })
     }
 
+    /// Returns the copy of a table.
+    pub(super) fn copy(&self, table: Table) -> &TableCopy {
+        match table {
+            Table::Operator => &self.copies.operator,
+            Table::Instances => &self.copies.instances,
+            Table::Members => &self.copies.members,
+        }
+    }
+
+    /// Returns the hosts that may read the store in this one's place.
+    pub(super) fn readers(&self) -> Readers {
+        self.gateway.borrow().readers(self.started_at.elapsed())
+    }
+
+    /// Returns the time since the host started.
+    pub(super) fn uptime(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
     /// Returns whether the balancer should send connections here.
     pub(super) fn is_ready(&self) -> bool {
         !self.draining.get() && self.gateway.borrow().is_ready()
--- /dev/null
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -0,0 +1,80 @@
+//! The clients of the store and of the hosts that read it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebonytack_adapter::{Credential, Store};
+use ebonytack_core::Random;
+use ebonytack_gateway::{Event, Source, Sources};
+
+use super::shell::GatewayShell;
+
+/// From whom the tables are read, over all tables.
+pub(super) struct SourceClients {
+    sources: RefCell<Sources>,
+    peers: RefCell<HashMap<SocketAddr, Rc<Store>>>,
+    credential: Credential,
+    /// Whether neither the store nor a host that reads it answers.
+    lost: Cell<bool>,
+}
+
+impl SourceClients {
+    /// Creates clients that were not used yet.
+    pub(super) fn new(random: Random, credential: Credential) -> Self {
+        Self {
+            sources: RefCell::new(Sources::new(random)),
+            peers: RefCell::default(),
+            credential,
+            lost: Cell::new(false),
+        }
+    }
+
+    /// Returns the source to ask now. Without one, the tables are out of reach: the caller waits
+    /// for the returned time.
+    pub(super) fn choose(&self, shell: &Rc<GatewayShell>) -> Result<Source, Duration> {
+        let chosen = self.sources.borrow_mut().choose(&shell.readers(), shell.uptime());
+        if chosen.is_err() && !self.lost.replace(true) {
+            shell.feed(Event::StoreLost);
+        }
+        chosen
+    }
+
+    /// Returns whether the tables are out of reach.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Returns the client of a host.
+    pub(super) fn peer(&self, address: SocketAddr) -> Rc<Store> {
+        let mut peers = self.peers.borrow_mut();
+        let client = peers
+            .entry(address)
+            .or_insert_with(|| Rc::new(Store::of_peer(address, Rc::clone(&self.credential))));
+        Rc::clone(client)
+    }
+
+    /// Notes that a source answered.
+    pub(super) fn note_success(&self, shell: &Rc<GatewayShell>, source: Source) {
+        self.sources.borrow_mut().note_success(source);
+        if self.lost.replace(false) {
+            shell.feed(Event::StoreRegained);
+        }
+    }
+
+    /// Notes that a host does not read the store now.
+    pub(super) fn note_refusal(&self, shell: &GatewayShell, source: Source) {
+        self.sources.borrow_mut().note_refusal(source, shell.uptime());
+    }
+
+    /// Notes that a source could not be asked.
+    pub(super) fn note_failure(&self, shell: &GatewayShell, source: Source) {
+        let readers = shell.readers();
+        self.sources.borrow_mut().note_failure(source, &readers, shell.uptime());
+        if let Source::Peer(address) = source {
+            self.peers.borrow_mut().remove(&address);
+        }
+    }
+}
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -19,7 +19,12 @@
 struct Bench {
     store: StandInStore,
     instances: Vec<StandInInstance>,
-    host: Child,
+    host: HostProcess,
+}
+
+/// A host as a process.
+struct HostProcess {
+    process: Child,
     callers: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -37,6 +42,21 @@
             store.put_instance(&id, Some(instance.entry("stock", "ready")));
             instances.push(instance);
         }
+        let host = HostProcess::start(name, &store).await;
+        Self { store, instances, host }
+    }
+
+    async fn ask(&self, path: &'static str, id: &str) -> u16 {
+        self.host.ask(path, id, KEY).await
+    }
+
+    fn runs(&self, id: &str) -> u32 {
+        self.instances.iter().map(|instance| instance.runs(id)).sum()
+    }
+}
+
+impl HostProcess {
+    async fn start(name: &str, store: &StandInStore) -> Self {
         let [callers, ready, peers] = free_addresses();
         let settings = std::env::temp_dir()
             .join(format!("ebonytack-gateway-{}-{name}.json", std::process::id()));
@@ -47,22 +67,22 @@
             store.address
         );
         std::fs::write(&settings, text).expect("the settings are written");
-        let mut host = Command::new(env!("CARGO_BIN_EXE_ebonytack"))
+        let mut process = Command::new(env!("CARGO_BIN_EXE_ebonytack"))
             .args(["gateway", "--settings"])
             .arg(&settings)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the host starts");
         let log = Arc::new(Mutex::new(Vec::new()));
-        let (lines, kept) = (host.stdout.take().expect("a pipe"), Arc::clone(&log));
+        let (lines, kept) = (process.stdout.take().expect("a pipe"), Arc::clone(&log));
         std::thread::spawn(move || {
             for line in BufReader::new(lines).lines().map_while(Result::ok) {
                 kept.lock().expect("no thread panicked").push(line);
             }
         });
-        let bench = Self { store, instances, host, callers, ready, settings, log };
-        bench.wait_until_ready().await;
-        bench
+        let host = Self { process, callers, ready, settings, log };
+        host.wait_until_ready().await;
+        host
     }
 
     async fn wait_until_ready(&self) {
@@ -74,16 +94,16 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.host.id()).expect("a process id");
+        let id = i32::try_from(self.process.id()).expect("a process id");
         kill(Pid::from_raw(id), signal).expect("the signal is sent");
     }
 
     fn has_ended(&mut self) -> bool {
-        self.host.try_wait().expect("the process can be asked").is_some()
+        self.process.try_wait().expect("the process can be asked").is_some()
     }
 
-    async fn ask(&self, path: &'static str, id: &str) -> u16 {
-        let answer = Caller::new(self.callers).ask(path, id, KEY, 2_000).await;
+    async fn ask(&self, path: &'static str, id: &str, key: &str) -> u16 {
+        let answer = Caller::new(self.callers).ask(path, id, key, 2_000).await;
         answer.map_or(0, |answer| answer.status.as_u16())
     }
 
@@ -99,17 +119,13 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
-
-    fn runs(&self, id: &str) -> u32 {
-        self.instances.iter().map(|instance| instance.runs(id)).sum()
-    }
 }
 
-impl Drop for Bench {
+impl Drop for HostProcess {
     fn drop(&mut self) {
         // The host may have ended, and the file may be gone.
-        let _ = self.host.kill();
-        let _ = self.host.wait();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
         let _ = std::fs::remove_file(&self.settings);
     }
 }
@@ -126,7 +142,7 @@
 #[actix_rt::test]
 async fn requests_are_served_for_the_customer_that_holds_the_key() {
     let bench = Bench::start("served", &[SWIFT]).await;
-    let mut caller = Caller::new(bench.callers);
+    let mut caller = Caller::new(bench.host.callers);
     let answer = caller.ask("/order/1?x=y", "o-1", KEY, 2_000).await.expect("an answer");
     assert_eq!(answer.status.as_u16(), 200);
     assert_eq!(&answer.body[..], b"two handle sets");
@@ -138,15 +154,21 @@
     assert_eq!(unknown.status.as_u16(), 404);
     assert_eq!((bench.runs("o-1"), bench.runs("o-2")), (1, 0));
     assert_eq!(bench.store.members(), ["served"]);
-    bench.wait_for_line(&["\"event\":\"placed\"", "\"request\":\"o-1\"", "\"in_flight\":0"]).await;
-    bench.wait_for_line(&["\"event\":\"delivered\"", "\"request\":\"o-1\""]).await;
-    bench.wait_for_line(&["\"event\":\"refused\"", "\"request\":\"o-2\"", "key-missing"]).await;
+    bench
+        .host
+        .wait_for_line(&["\"event\":\"placed\"", "\"request\":\"o-1\"", "\"in_flight\":0"])
+        .await;
+    bench.host.wait_for_line(&["\"event\":\"delivered\"", "\"request\":\"o-1\""]).await;
+    bench
+        .host
+        .wait_for_line(&["\"event\":\"refused\"", "\"request\":\"o-2\"", "key-missing"])
+        .await;
 }
 
 #[actix_rt::test]
 async fn what_a_full_instance_turned_away_runs_elsewhere_or_is_refused_as_not_run() {
     let bench = Bench::start("turned", &[Work::TurnAway]).await;
-    let mut caller = Caller::new(bench.callers);
+    let mut caller = Caller::new(bench.host.callers);
     let refused = caller.ask("/order/1", "o-1", KEY, 2_000).await.expect("an answer");
     assert_eq!(refused.status.as_u16(), 503);
     assert!(refused.header("retry-after").is_some());
@@ -172,7 +194,7 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(bench.ask("/order/1", "o-1").await, 401);
     let before = leaving.customers().len();
-    let mut caller = Caller::new(bench.callers);
+    let mut caller = Caller::new(bench.host.callers);
     for _ in 0..10 {
         let answer = caller.ask("/lookup/1", "l", "new-key", 2_000).await.expect("an answer");
         assert_eq!(answer.status.as_u16(), 200);
@@ -187,11 +209,11 @@
         bench.store.set_fault(fault);
         tokio::time::sleep(Duration::from_millis(700)).await;
         assert_eq!(bench.ask("/order/1", "o").await, 200, "{fault:?}");
-        assert!(is_ready(bench.ready).await, "{fault:?}");
+        assert!(is_ready(bench.host.ready).await, "{fault:?}");
         bench.store.set_fault(StoreFault::None);
     }
-    bench.wait_for_line(&["\"event\":\"store\"", "\"reachable\":false"]).await;
-    bench.wait_for_line(&["\"event\":\"store\"", "\"reachable\":true"]).await;
+    bench.host.wait_for_line(&["\"event\":\"store\"", "\"reachable\":false"]).await;
+    bench.host.wait_for_line(&["\"event\":\"store\"", "\"reachable\":true"]).await;
     let calls = bench.store.calls();
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert!(bench.store.calls() - calls < 10, "a calm host asks seldom");
@@ -200,11 +222,11 @@
 #[actix_rt::test]
 async fn a_hang_up_reloads_the_settings_and_wrong_ones_change_nothing() {
     let mut bench = Bench::start("reload", &[SWIFT]).await;
-    bench.signal(Signal::SIGHUP);
-    bench.wait_for_line(&["reload: settings in force"]).await;
-    std::fs::write(&bench.settings, "{}").expect("the settings are written");
-    bench.wait_for_line(&["reload: the settings were not taken"]).await;
-    assert!(!bench.has_ended());
+    bench.host.signal(Signal::SIGHUP);
+    bench.host.wait_for_line(&["reload: settings in force"]).await;
+    std::fs::write(&bench.host.settings, "{}").expect("the settings are written");
+    bench.host.wait_for_line(&["reload: the settings were not taken"]).await;
+    assert!(!bench.host.has_ended());
     assert_eq!(bench.ask("/order/1", "o-1").await, 200);
 }
 
@@ -212,21 +234,77 @@
 async fn a_planned_stop_cuts_no_request() {
     let slow = Work::Answer(Duration::from_millis(1_200));
     let mut bench = Bench::start("stop", &[slow]).await;
-    let (callers, mut early) = (bench.callers, Caller::new(bench.callers));
+    let (callers, mut early) = (bench.host.callers, Caller::new(bench.host.callers));
     let under_way = actix_rt::spawn(async move { early.ask("/order/1", "o-1", KEY, 2_500).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
-    bench.signal(Signal::SIGTERM);
+    bench.host.signal(Signal::SIGTERM);
     tokio::time::sleep(Duration::from_millis(200)).await;
-    assert!(!is_ready(bench.ready).await);
+    assert!(!is_ready(bench.host.ready).await);
     let late = Caller::new(callers).ask("/order/1", "o-2", KEY, 2_500).await;
     let late = late.expect("a stopping host still serves until the balancer has noticed");
     assert_eq!(late.status.as_u16(), 200);
     let under_way = under_way.await.expect("the task ends").expect("an answer");
     assert_eq!(under_way.status.as_u16(), 200);
     let until = Instant::now() + Duration::from_secs(6);
-    while !bench.has_ended() {
+    while !bench.host.has_ended() {
         assert!(Instant::now() < until, "the host ends in time");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    bench.wait_for_line(&["stop: complete"]).await;
+    bench.host.wait_for_line(&["stop: complete"]).await;
+}
+
+/// Waits until a host refuses the old key and takes the new one.
+async fn wait_for_key(host: &HostProcess, old: &str, new: &str) -> Duration {
+    let began = Instant::now();
+    while host.ask("/lookup/1", "l", old).await != 401
+        || host.ask("/lookup/1", "l", new).await != 200
+    {
+        assert!(began.elapsed() < CONFIGURATION_TIME_MAX, "the configuration is in force");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    began.elapsed()
+}
+
+/// The time in which an accepted configuration has to be in force.
+const CONFIGURATION_TIME_MAX: Duration = Duration::from_secs(2);
+
+#[actix_rt::test]
+async fn one_host_reads_the_store_for_all_and_the_next_takes_its_place() {
+    let mut bench = Bench::start("relay-1", &[SWIFT]).await;
+    let second = HostProcess::start("relay-2", &bench.store).await;
+    let third = HostProcess::start("relay-3", &bench.store).await;
+    for host in [&second, &third] {
+        host.wait_for_line(&["Instances is read from 127.0.0.1"]).await;
+        host.wait_for_line(&["Operator is read from 127.0.0.1"]).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let calls = bench.store.calls();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = bench.store.calls() - calls;
+    assert!(calls <= 12, "{calls} calls in 4 s: more than one host reads");
+
+    bench.store.put_configuration(&configuration(2, &["second-key"]));
+    for host in [&bench.host, &second, &third] {
+        wait_for_key(host, KEY, "second-key").await;
+    }
+    // The reader freezes, so that its connections stay open.
+    bench.host.signal(Signal::SIGSTOP);
+    bench.store.put_configuration(&configuration(3, &["third-key"]));
+    for host in [&second, &third] {
+        wait_for_key(host, "second-key", "third-key").await;
+    }
+    bench.host.signal(Signal::SIGCONT);
+    bench.store.put_configuration(&configuration(4, &["fourth-key"]));
+    for host in [&bench.host, &second, &third] {
+        wait_for_key(host, "third-key", "fourth-key").await;
+    }
+    bench.store.set_fault(StoreFault::Busy);
+    third.wait_for_line(&["\"event\":\"store\"", "\"reachable\":false"]).await;
+    bench.store.set_fault(StoreFault::None);
+    third.wait_for_line(&["\"event\":\"store\"", "\"reachable\":true"]).await;
+    bench.store.put_configuration(&configuration(5, &["fifth-key"]));
+    for host in [&bench.host, &second, &third] {
+        wait_for_key(host, "fourth-key", "fifth-key").await;
+    }
+    assert!(!bench.host.has_ended());
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::balance::{Evidence, LastingEvidence};
 use crate::report::ShortId;
-use crate::{Report, Section};
+use crate::{Readers, Report, Section};
 
 /// Reports older than this do not count.
 pub(crate) const REPORT_LIFETIME: Duration = Duration::from_millis(650);
@@ -20,7 +20,7 @@
 const YOUNG_SECTIONS: u64 = 10;
 
 /// Differences below this many attempts come from rounding.
-const NEW_ATTEMPTS_MIN: f64 = 0.01;
+const NEW_ATTEMPTS_MIN: f64 = 0.05;
 /// Failures above this number are told at once.
 const NEW_FAILURES_MIN: f64 = 0.4;
 /// Evidence of fewer attempts decides nothing.
@@ -198,6 +198,18 @@
         first.is_none_or(|(name, _)| *name > self.name)
     }
 
+    /// Returns the heard hosts of the own data centre, by name.
+    pub(crate) fn readers(&self, now: Duration) -> Readers {
+        let mut readers = Readers::default();
+        for (name, peer) in &self.peers {
+            if peer.data_centre == self.data_centre && peer.is_heard(now) {
+                let list = if *name < self.name { &mut readers.before } else { &mut readers.after };
+                list.push(peer.address);
+            }
+        }
+        readers
+    }
+
     /// Returns where the hosts of the own data centre listen.
     pub(crate) fn near_addresses(&self) -> Vec<SocketAddr> {
         let near = |peer: &&Peer| peer.data_centre == self.data_centre;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use crate::fleet::Fleet;
 use crate::limits::SharedBucket;
 use crate::request::ActiveRequest;
-use crate::{Configuration, Effect, Instance, Record};
+use crate::{Configuration, Effect, Instance, Readers, Record};
 
 /// What a host is told about itself and its fleet.
 #[derive(Clone, Debug)]
@@ -174,6 +174,11 @@
         self.configuration.as_ref()
     }
 
+    /// Returns the hosts that may read the store in this one's place.
+    pub fn readers(&self, now: Duration) -> Readers {
+        self.fleet.readers(now)
+    }
+
     /// Returns the number of requests that have no final answer.
     pub fn requests_in_flight(&self) -> usize {
         self.requests.values().filter(|request| !request.answered).count()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod record;
 mod report;
 mod request;
+mod source;
 
 pub use balance::{
     Candidate, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
@@ -31,3 +32,4 @@
 pub use record::Record;
 pub use report::{CustomerReport, InstanceReport, Report, Section};
 pub use request::Arrival;
+pub use source::{Readers, Source, Sources};
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -5,4 +5,5 @@
 mod customers;
 mod fleet;
 mod placement;
+mod sources;
 mod support;
