feat(gateway): place by the expected value of the answer

Besides, an instance with many successes counted as five times as safe as one with few, so that all orders went to the same ones, also in other data centres.

Ruled out: a lower price of failures alone; it does not know what being late costs.

Change: candidates are compared by what the answer is worth, by the probability that it comes, and that it comes within the route's target latency. Successes lower the probability no further than the expectation. Another data centre costs 0.1 s instead of 0.05 s. Counts in reports are rounded to 1 in 256, which packing turns into fewer bytes.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -22,12 +22,17 @@
 /// The share of remembered successes that still counts after a failure: one failure among many
 /// successes makes an instance suspect, a second one has it avoided.
 const SUCCESSES_KEPT: f64 = 0.3;
-/// What a failure costs, in seconds of waiting, when the request cannot be repeated.
-const FAILURE_COST_S: f64 = 3.0;
+/// What the loss of a request costs, in seconds of waiting, when it cannot be repeated.
+const LOSS_COST_S: f64 = 5.0;
 /// What a failure costs, in seconds of waiting, when the request can be repeated.
-const REPEATABLE_FAILURE_COST_S: f64 = 1.2;
+const REPEATABLE_LOSS_COST_S: f64 = 1.2;
+/// What a late answer is worth, relative to one within the target latency.
+const LATE_VALUE: f64 = 0.3;
+/// How sharply the probability of an answer in time falls around the target latency. Times of
+/// requests vary by some tens of percent around their estimate.
+const LATE_STEEPNESS: i32 = 4;
 /// What a transfer to another data centre costs, in seconds of waiting.
-const OTHER_DATA_CENTRE_COST_S: f64 = 0.05;
+const OTHER_DATA_CENTRE_COST_S: f64 = 0.1;
 /// What a new connection costs, in seconds of waiting.
 const CONNECT_COST_S: f64 = 0.02;
 /// What is gained by trying an instance that nobody has tried for a while, in seconds of waiting.
@@ -110,7 +115,8 @@
 ) -> f64 {
     let share = |evidence: &FadingEvidence<HALF_LIFE_MS>| {
         let failures = evidence.failures + FAILURE_PRIOR * FAILURE_PRIOR_ATTEMPTS;
-        (failures / (evidence.attempts + FAILURE_PRIOR_ATTEMPTS)).min(1.0)
+        // Many successes do not make an instance better than others: all would go there.
+        (failures / (evidence.attempts + FAILURE_PRIOR_ATTEMPTS)).clamp(FAILURE_PRIOR, 1.0)
     };
     share(fleet).max(share(own))
 }
@@ -147,6 +153,24 @@
     candidate.service_time_s * cold * service_times
 }
 
+/// Returns the expected value of an answer after `estimate_s`, when 1 is one in time.
+fn expected_value(estimate_s: f64, target_s: f64, failure_probability: f64) -> f64 {
+    let in_time = match target_s > 0.0 {
+        true => 1.0 / (1.0 + (estimate_s / target_s).powi(LATE_STEEPNESS)),
+        false => 0.0,
+    };
+    (1.0 - failure_probability) * (LATE_VALUE + (1.0 - LATE_VALUE) * in_time)
+}
+
+/// The request that is placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Whether another attempt may follow a failure.
+    pub repeatable: bool,
+    /// What is left of the target latency.
+    pub target_left: Duration,
+}
+
 /// The choice of an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Placement {
@@ -157,19 +181,20 @@
 }
 
 impl Placement {
-    /// Chooses the candidate with the least expected cost. `repeatable` says whether another
-    /// attempt may follow a failure.
-    pub fn choose(candidates: &[Candidate], repeatable: bool, random: &mut Random) -> Option<Self> {
-        let failure_cost_s = if repeatable { REPEATABLE_FAILURE_COST_S } else { FAILURE_COST_S };
+    /// Chooses the candidate with the least expected cost.
+    pub fn choose(candidates: &[Candidate], demand: &Demand, random: &mut Random) -> Option<Self> {
+        let loss_cost_s = if demand.repeatable { REPEATABLE_LOSS_COST_S } else { LOSS_COST_S };
+        let target_s = demand.target_left.as_secs_f64();
         let mut best: Option<(f64, Self)> = None;
         for (index, candidate) in candidates.iter().enumerate() {
             let estimate_s = completion_estimate(candidate);
-            let explored = repeatable && candidate.untried;
+            let explored = demand.repeatable && candidate.untried;
             let probability = match explored {
                 true => FAILURE_PRIOR,
                 false => candidate.failure_probability,
             };
-            let mut cost = estimate_s + probability * failure_cost_s;
+            let loss = 1.0 - expected_value(estimate_s, target_s, probability);
+            let mut cost = estimate_s + loss * loss_cost_s;
             if explored {
                 cost -= EXPLORATION_GAIN_S;
             }
--- a/crates/gateway/src/gateway/placing.rs
+++ b/crates/gateway/src/gateway/placing.rs
@@ -7,7 +7,7 @@
 use super::Gateway;
 use super::requests::millis;
 use super::state::{Due, InstanceView};
-use crate::balance::{Candidate, Patience, Placement, failure_probability};
+use crate::balance::{Candidate, Demand, Patience, Placement, failure_probability};
 use crate::report::short_id;
 use crate::request::Attempt;
 use crate::{Effect, InstanceState, Record};
@@ -92,6 +92,7 @@
         // The last attempt that is allowed must not fail, whether or not it may run again.
         let is_last = !active.idempotent || active.runs + 1 >= active.attempts_max;
         let now = self.now;
+        let target_left = active.target_at.saturating_sub(now);
         let service_id = active.service.clone();
         let service = self.services.get(&service_id)?;
         let sums = self.fleet.instance_sums(now);
@@ -131,7 +132,8 @@
         if !is_last && !self.may_explore(&service_id, exploration, &candidates) {
             candidates.iter_mut().for_each(|candidate| candidate.untried = false);
         }
-        let placement = Placement::choose(&candidates, !is_last, &mut self.random)?;
+        let demand = Demand { repeatable: !is_last, target_left };
+        let placement = Placement::choose(&candidates, &demand, &mut self.random)?;
         let candidate = candidates[placement.index];
         self.record_avoided(&ids, &candidates);
         let id = ids.swap_remove(placement.index);
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -52,6 +52,7 @@
             attempts_max: route.attempts_max,
             priority,
             arrived_at: self.now,
+            target_at: self.now + route.target_latency,
             expires_at,
             attempts: Vec::new(),
             tried: Vec::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod source;
 
 pub use balance::{
-    Candidate, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
+    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
     failure_probability,
 };
 pub use configuration::{CallerLimits, Configuration, Customer, Route, ServiceSpec, Target};
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,6 +31,8 @@
     /// The rank; 0 is the most urgent.
     pub(crate) priority: u32,
     pub(crate) arrived_at: Duration,
+    /// Until when an answer is in time.
+    pub(crate) target_at: Duration,
     /// When the final answer is due.
     pub(crate) expires_at: Duration,
     /// Attempts that have not ended.
--- a/crates/gateway/tests/suite/placement.rs
+++ b/crates/gateway/tests/suite/placement.rs
@@ -4,7 +4,7 @@
 
 use ebonytack_core::Random;
 use ebonytack_gateway::{
-    Candidate, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
+    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
     failure_probability,
 };
 
@@ -20,9 +20,22 @@
     untried: false,
 };
 
-fn choose(candidates: &[Candidate], idempotent: bool) -> usize {
+const LOOKUP: Demand = Demand { repeatable: true, target_left: Duration::from_secs(1) };
+const ORDER: Demand = Demand { repeatable: false, ..LOOKUP };
+
+fn choose(candidates: &[Candidate], repeatable: bool) -> usize {
     let mut random = Random::new(3);
-    Placement::choose(candidates, idempotent, &mut random).expect("a candidate").index
+    let demand = if repeatable { LOOKUP } else { ORDER };
+    Placement::choose(candidates, &demand, &mut random).expect("a candidate").index
+}
+
+#[test]
+fn an_order_takes_a_small_risk_rather_than_be_late() {
+    let suspect = Candidate { failure_probability: 0.12, ..IDLE };
+    let in_time = Candidate { in_flight: 5.0, ..IDLE };
+    let late = Candidate { in_flight: 14.0, ..IDLE };
+    assert_eq!(choose(&[suspect, in_time], false), 1);
+    assert_eq!(choose(&[suspect, late], false), 0);
 }
 
 #[test]
@@ -63,7 +76,7 @@
     let candidates = [IDLE; 20];
     let mut chosen = [0; 20];
     for _ in 0..600 {
-        let placement = Placement::choose(&candidates, false, &mut random).expect("a candidate");
+        let placement = Placement::choose(&candidates, &ORDER, &mut random).expect("a candidate");
         chosen[placement.index] += 1;
     }
     assert!(chosen.iter().all(|count| (10..60).contains(count)), "{chosen:?}");
@@ -74,7 +87,7 @@
     let far = Candidate { same_data_centre: false, ..IDLE };
     let mut random = Random::new(9);
     let near = (0..200).filter(|_| {
-        Placement::choose(&[far, IDLE], true, &mut random).expect("a candidate").index == 1
+        Placement::choose(&[far, IDLE], &LOOKUP, &mut random).expect("a candidate").index == 1
     });
     assert!(near.count() > 120);
     let loaded = Candidate { in_flight: 4.0, ..IDLE };
@@ -131,3 +144,11 @@
     let own = failure_probability(&seen, &others);
     assert!(own > 0.6, "a path that is cut for one host only");
 }
+
+#[test]
+fn much_used_instances_are_not_preferred_to_well_ones_that_are_seldom_used() {
+    let now = Duration::from_secs(10);
+    let much = LastingEvidence::new(60.0, 0.0, now);
+    let none = LastingEvidence::default();
+    assert_eq!(failure_probability(&none, &much), failure_probability(&none, &none));
+}
--- a/crates/wire/src/report.rs
+++ b/crates/wire/src/report.rs
@@ -87,15 +87,15 @@
         let mut to = instances.reborrow().get(index as u32);
         to.set_id(report.id);
         to.set_in_flight(report.in_flight);
-        to.set_attempts(report.attempts);
-        to.set_failures(report.failures);
+        to.set_attempts(rounded(report.attempts));
+        to.set_failures(rounded(report.failures));
     }
     let mut customers = to.init_customers(section.customers.len() as u32);
     for (index, report) in section.customers.iter().enumerate() {
         let mut to = customers.reborrow().get(index as u32);
         to.set_id(report.id);
         to.set_admitted(report.admitted);
-        to.set_demand_per_second(report.demand_per_second);
+        to.set_demand_per_second(rounded(report.demand_per_second));
     }
 }
 
@@ -121,6 +121,11 @@
     })
 }
 
+/// Rounds a count to some 1 in 256, so that packing leaves out half of its bytes.
+fn rounded(value: f32) -> f32 {
+    f32::from_bits(value.to_bits() & 0xffff_0000)
+}
+
 /// A count that is no number, or negative, counts as none.
 fn finite(value: f32) -> f32 {
     if value.is_finite() { value.max(0.0) } else { 0.0 }
