test(soak): play random faults against host processes

Four hosts, five instances behind proxies and a store behind a proxy a host; kills, planned stops, freezes, reloads, store outages, silent, reset, delayed and one-way links, ill and leaving instances, new configurations with new keys, in series that overlap.

Also: metrics on an address of their own, which the deploy file names.

--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -58,6 +58,10 @@
     let shell = GatewayShell::new(gateway, file.clone(), reports.clone(), log);
     let callers = callers::service(&shell).await?;
     accept_loop(file.callers, file.caller_connections, callers).await?;
+    if let Some(address) = file.metrics {
+        let service = ready::service(&shell, metrics.clone()).await?;
+        accept_loop(address, READY_CONNECTIONS_MAX, service).await?;
+    }
     let ready = ready::service(&shell, metrics).await?;
     accept_loop(file.ready, READY_CONNECTIONS_MAX, ready).await?;
     let peers = relay::service(&shell, secret.clone()).await?;
--- a/crates/ebonytack/src/gateway/settings.rs
+++ b/crates/ebonytack/src/gateway/settings.rs
@@ -31,6 +31,9 @@
     callers: String,
     ready: String,
     peers: String,
+    /// Metrics are served beside readiness in any case.
+    #[serde(default)]
+    metrics: Option<String>,
 }
 
 /// Settings that are right as a whole.
@@ -44,6 +47,8 @@
     pub(super) callers: SocketAddr,
     pub(super) ready: SocketAddr,
     pub(super) peers: SocketAddr,
+    /// Where metrics are served besides.
+    pub(super) metrics: Option<SocketAddr>,
     pub(super) store: SocketAddr,
     pub(super) fleet_secret: String,
     pub(super) caller_connections: usize,
@@ -81,6 +86,8 @@
         let callers = address(&mut faults, "$.listen.callers", &raw.listen.callers);
         let ready = address(&mut faults, "$.listen.ready", &raw.listen.ready);
         let peers = address(&mut faults, "$.listen.peers", &raw.listen.peers);
+        let metrics = raw.listen.metrics.as_deref();
+        let metrics = metrics.map(|text| address(&mut faults, "$.listen.metrics", text));
         let store = address(&mut faults, "$.store_address", &raw.store_address);
         let bounds = Bounds::decode(&raw.bounds)
             .map_err(|error| faults.push(Fault::new("$.bounds", error, "texts name=number")));
@@ -96,6 +103,7 @@
                     callers,
                     ready,
                     peers,
+                    metrics: metrics.flatten(),
                     store,
                     fleet_secret: raw.fleet_secret,
                     caller_connections: raw.caller_connections,
--- /dev/null
+++ b/crates/ebonytack/tests/soak/faults.rs
@@ -0,0 +1,158 @@
+//! What goes wrong, and when.
+
+use std::time::{Duration, Instant};
+
+use ebonytack_core::Random;
+use ebonytack_stand_in::{StoreFault, Work};
+use ebonytack_testbed::LinkFault;
+use nix::sys::signal::Signal;
+
+use crate::hosts::{HOSTS, INSTANCES, WELL, World};
+
+/// The mean time between two faults.
+const GAP_MEAN_S: f64 = 0.8;
+/// How long a fault lasts at most.
+const LENGTH_MAX_S: f64 = 3.0;
+/// How soon the platform starts a process again.
+const RESTART_AFTER: Duration = Duration::from_millis(400);
+/// How often processes that ended are looked for.
+const STEP: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    Kill(usize),
+    Terminate(usize),
+    Freeze(usize),
+    HangUp(usize),
+    Store(StoreFault),
+    StoreLink(usize, LinkFault),
+    InstanceLink(usize, LinkFault),
+    Instance(usize, Work),
+    Drain(usize),
+    Configuration,
+}
+
+/// A fault with its times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Planned {
+    pub(crate) at: Duration,
+    pub(crate) length: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// The faults of a run, in order; they come in series and overlap.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) faults: Vec<Planned>,
+    length: Duration,
+}
+
+impl Plan {
+    pub(crate) fn draw(random: &mut Random, length: Duration) -> Self {
+        let mut faults = Vec::new();
+        let mut at_s = 1.0;
+        let mut drained = false;
+        while at_s < length.as_secs_f64() {
+            let mut fault = draw_fault(random);
+            // Two instances at least stay.
+            if matches!(fault, Fault::Drain(_)) && std::mem::replace(&mut drained, true) {
+                fault = Fault::Configuration;
+            }
+            let length = Duration::from_secs_f64(0.2 + random.unit() * LENGTH_MAX_S);
+            faults.push(Planned { at: Duration::from_secs_f64(at_s), length, fault });
+            at_s += -GAP_MEAN_S * (1.0 - random.unit()).ln();
+        }
+        Self { faults, length }
+    }
+
+    /// Plays the faults, and starts processes again that ended.
+    pub(crate) async fn play(&self, world: &mut World) {
+        let began = Instant::now();
+        let mut begun = 0;
+        let mut ending: Vec<Planned> = Vec::new();
+        let mut ended_since = [None; HOSTS];
+        while began.elapsed() < self.length {
+            let now = began.elapsed();
+            while let Some(planned) = self.faults.get(begun).filter(|planned| planned.at <= now) {
+                begun += 1;
+                begin(world, planned.fault);
+                ending.push(*planned);
+            }
+            ending.retain(|planned| {
+                let over = planned.at + planned.length <= now;
+                if over {
+                    end(world, planned.fault);
+                }
+                !over
+            });
+            for (host, since) in world.hosts.iter_mut().zip(&mut ended_since) {
+                if !host.has_ended() {
+                    *since = None;
+                } else if since.get_or_insert(now).saturating_add(RESTART_AFTER) <= now {
+                    host.start();
+                }
+            }
+            tokio::time::sleep(STEP).await;
+        }
+    }
+}
+
+fn draw_fault(random: &mut Random) -> Fault {
+    let (host, instance) = (random.below(HOSTS), random.below(INSTANCES));
+    let link = match random.below(4) {
+        0 => LinkFault { hold_forward: true, ..LinkFault::default() },
+        1 => LinkFault { hold_back: true, ..LinkFault::default() },
+        2 => LinkFault { reset: true, ..LinkFault::default() },
+        _ => LinkFault { delay: Duration::from_millis(150), ..LinkFault::default() },
+    };
+    match random.below(14) {
+        0 => Fault::Kill(host),
+        1 | 2 => Fault::Terminate(host),
+        3 => Fault::Freeze(host),
+        4 => Fault::HangUp(host),
+        5 => Fault::Store(StoreFault::Busy),
+        6 => Fault::Store(StoreFault::Silent),
+        7 => Fault::Store(StoreFault::Forgetful),
+        8 => Fault::StoreLink(host, link),
+        9 => Fault::InstanceLink(instance, link),
+        10 => Fault::Instance(instance, Work::Fail),
+        11 => match random.below(2) {
+            0 => Fault::Instance(instance, Work::TurnAway),
+            _ => Fault::Instance(instance, Work::Answer(Duration::from_millis(900))),
+        },
+        12 => Fault::Drain(instance),
+        _ => Fault::Configuration,
+    }
+}
+
+fn begin(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Kill(host) => world.hosts[host].signal(Signal::SIGKILL),
+        Fault::Terminate(host) => world.hosts[host].signal(Signal::SIGTERM),
+        Fault::Freeze(host) => world.hosts[host].signal(Signal::SIGSTOP),
+        Fault::HangUp(host) => world.hosts[host].signal(Signal::SIGHUP),
+        Fault::Store(fault) => world.store.set_fault(fault),
+        Fault::StoreLink(host, link) => world.hosts[host].store_link.set(link),
+        Fault::InstanceLink(instance, link) => world.instance_links[instance].set(link),
+        Fault::Instance(instance, work) => world.instances[instance].set_work(work),
+        Fault::Drain(instance) => world.drain(instance),
+        Fault::Configuration => world.change_configuration(),
+    }
+}
+
+fn end(world: &mut World, fault: Fault) {
+    match fault {
+        Fault::Freeze(host) => world.hosts[host].signal(Signal::SIGCONT),
+        Fault::Store(_) => world.store.set_fault(StoreFault::None),
+        Fault::StoreLink(host, _) => world.hosts[host].store_link.set(LinkFault::default()),
+        Fault::InstanceLink(instance, _) => {
+            world.instance_links[instance].set(LinkFault::default());
+        }
+        Fault::Instance(instance, _) => world.instances[instance].set_work(WELL),
+        Fault::Kill(_)
+        | Fault::Terminate(_)
+        | Fault::HangUp(_)
+        | Fault::Drain(_)
+        | Fault::Configuration => {}
+    }
+}
