feat(ebonyctl): explain a failed request from hosts' logs

Cause: on-call engineers had to sort lines of 44 hosts by hand to get from an id to its cause.

Change: `ebonyctl explain REQUEST-ID FILE...` merges the logs of several hosts and prints the request's lines, what its hosts believed within 5 s, what others met on its instances, and how it ended.

--- a/crates/ebonyctl/src/cli.rs
+++ b/crates/ebonyctl/src/cli.rs
@@ -56,6 +56,12 @@
                 .about("Replays a recorded trace and compares its effects byte for byte")
                 .arg(path("trace", "TRACE")),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Shows from hosts' logs what decided about a request")
+                .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
+                .arg(path("file", "FILE").num_args(1..)),
+        )
         .subcommand(
             Command::new("completion")
                 .about("Prints the completion script of a shell")
--- a/crates/ebonyctl/src/command/mod.rs
+++ b/crates/ebonyctl/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod change;
 mod declaration;
+mod explain;
 mod key;
 mod profile;
 mod status;
@@ -32,6 +33,11 @@
         "validate" => return declaration::validate(&file(arguments, "file")?),
         "replay" => return replay_trace(&file(arguments, "trace")?),
         "completion" => return completion(arguments),
+        "explain" => {
+            let files: Vec<PathBuf> =
+                arguments.get_many("file").unwrap_or_default().cloned().collect();
+            return explain::explain(text(arguments, "request"), &files);
+        }
         _ => {}
     }
     let context = Context::new(arguments)?;
--- a/crates/ebonyctl/tests/suite/main.rs
+++ b/crates/ebonyctl/tests/suite/main.rs
@@ -58,3 +58,49 @@
     let script = run(&["completion", "bash"]);
     assert!(text(&script.stdout).contains("_ebonyctl"));
 }
+
+/// Writes the logs of two hosts and returns their paths.
+fn logs(name: &str) -> [String; 2] {
+    let near = concat!(
+        r#"{"time":10.2,"host":"h-1","part":"upstream","event":"placed","request":"r-7","instance":"i-1","failure_percent":2}"#,
+        "\n",
+        r#"{"time":10.3,"host":"h-1","part":"upstream","event":"attempt-failed","request":"r-7","instance":"i-1","kind":"broken","may_have_run":true}"#,
+        "\n",
+        r#"{"time":10.3,"host":"h-1","part":"request","event":"refused","request":"r-7","reason":"upstream-failed","outcome":"unknown","input":"1 sends, none left","after_ms":100}"#,
+        "\nnot a record\n",
+        r#"{"time":10.4,"host":"h-1","part":"request","event":"delivered","request":"r-8","instance":"i-1","status":200}"#,
+    );
+    let far = concat!(
+        r#"   9.5 h-2 {"time":9.5,"host":"h-2","part":"upstream","event":"attempt-failed","request":"r-6","instance":"i-1","kind":"status 500"}"#,
+        "\n",
+        r#"{"time":1.0,"host":"h-2","part":"upstream","event":"attempt-failed","request":"r-1","instance":"i-1","kind":"early"}"#,
+    );
+    [near, far].map(|content| {
+        let file = format!("ebonyctl-{}-{name}-{}.log", std::process::id(), content.len());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, content).expect("the log is written");
+        path.to_string_lossy().into_owned()
+    })
+}
+
+#[test]
+fn a_failed_request_is_explained_from_the_logs_of_several_hosts() {
+    let [near, far] = logs("explain");
+    let output = run(&["explain", "r-7", &near, &far]);
+    let printed = text(&output.stdout);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let lines: Vec<&str> = printed.lines().collect();
+    assert_eq!(lines.len(), 5, "{printed}");
+    assert!(lines[0].contains("h-2") && lines[0].contains("status 500"), "{printed}");
+    assert!(lines[1].contains("placed") && lines[1].contains("+0.000 s"), "{printed}");
+    assert!(lines[4].contains("upstream-failed, unknown"), "{printed}");
+    assert!(!printed.contains("r-8") && !printed.contains("early"), "{printed}");
+}
+
+#[test]
+fn a_request_that_no_log_names_is_wrong_input() {
+    let [near, far] = logs("unknown");
+    let output = run(&["explain", "r-99", &near, &far]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text(&output.stderr).contains("r-99"));
+}
