fix(gateway): let the longer memory count for suspects only

Ruled out: load as the cause; lookups, which do not use that memory, were served better.

Change: the longer memory counts from a probability of 0.09 on, a failure keeps 0.2 of the successes, and the loss of an order costs 4 s of waiting instead of 5 s.

--- a/crates/ebonytack/tests/soak/faults.rs
+++ b/crates/ebonytack/tests/soak/faults.rs
@@ -99,13 +99,13 @@
 
 fn draw_fault(random: &mut Random) -> Fault {
     let (host, instance) = (random.below(HOSTS), random.below(INSTANCES));
-    let link = match random.below(4) {
+    let link = match random.below(5) {
         0 => LinkFault { hold_forward: true, ..LinkFault::default() },
         1 => LinkFault { hold_back: true, ..LinkFault::default() },
-        2 => LinkFault { reset: true, ..LinkFault::default() },
+        2 | 3 => LinkFault { reset: true, ..LinkFault::default() },
         _ => LinkFault { delay: Duration::from_millis(150), ..LinkFault::default() },
     };
-    match random.below(14) {
+    match random.below(17) {
         0 => Fault::Kill(host),
         1 | 2 => Fault::Terminate(host),
         3 => Fault::Freeze(host),
@@ -114,13 +114,13 @@
         6 => Fault::Store(StoreFault::Silent),
         7 => Fault::Store(StoreFault::Forgetful),
         8 => Fault::StoreLink(host, link),
-        9 => Fault::InstanceLink(instance, link),
-        10 => Fault::Instance(instance, Work::Fail),
-        11 => match random.below(2) {
+        9..=11 => Fault::InstanceLink(instance, link),
+        12 => Fault::Instance(instance, Work::Fail),
+        13 | 14 => match random.below(2) {
             0 => Fault::Instance(instance, Work::TurnAway),
             _ => Fault::Instance(instance, Work::Answer(Duration::from_millis(900))),
         },
-        12 => Fault::Drain(instance),
+        15 => Fault::Drain(instance),
         _ => Fault::Configuration,
     }
 }
--- a/crates/ebonytack/tests/soak/hosts.rs
+++ b/crates/ebonytack/tests/soak/hosts.rs
@@ -16,7 +16,7 @@
 
 pub(crate) const HOSTS: usize = 4;
 pub(crate) const INSTANCES: usize = 5;
-pub(crate) const WELL: Work = Work::Answer(Duration::from_millis(40));
+pub(crate) const WELL: Work = Work::Answer(Duration::from_millis(80));
 /// The limited customer.
 pub(crate) const BAR_RATE: u32 = 20;
 pub(crate) const BAR_BURST: u32 = 10;
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -21,9 +21,12 @@
 const FAILURE_PRIOR_ATTEMPTS: f64 = 2.0;
 /// The share of remembered successes that still counts after a failure: one failure among many
 /// successes makes an instance suspect, a second one has it avoided.
-const SUCCESSES_KEPT: f64 = 0.3;
+const SUCCESSES_KEPT: f64 = 0.2;
+/// The probability of failure from which the longer memory counts. Below it, it tells instances
+/// apart by chance, and all hosts would send to the few that look best.
+const SUSPECT_PROBABILITY: f64 = 0.09;
 /// What the loss of a request costs, in seconds of waiting, when it cannot be repeated.
-const LOSS_COST_S: f64 = 5.0;
+const LOSS_COST_S: f64 = 4.0;
 /// What a failure costs, in seconds of waiting, when the request can be repeated.
 const REPEATABLE_LOSS_COST_S: f64 = 1.2;
 /// What a late answer is worth, relative to one within the target latency.
@@ -121,6 +124,12 @@
     share(fleet).max(share(own))
 }
 
+/// Returns the probability that an attempt fails which must not fail: the longer memory counts
+/// beside the recent one when it makes the instance suspect.
+pub fn cautious_probability(recent: f64, lasting: f64) -> f64 {
+    if lasting >= SUSPECT_PROBABILITY { recent.max(lasting) } else { recent }
+}
+
 /// What is known of an instance when a request is placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
--- a/crates/gateway/src/gateway/placing.rs
+++ b/crates/gateway/src/gateway/placing.rs
@@ -7,7 +7,9 @@
 use super::Gateway;
 use super::requests::millis;
 use super::state::{Due, InstanceView};
-use crate::balance::{Candidate, Demand, Patience, Placement, failure_probability};
+use crate::balance::{
+    Candidate, Demand, Patience, Placement, cautious_probability, failure_probability,
+};
 use crate::report::short_id;
 use crate::request::Attempt;
 use crate::{Effect, InstanceState, Record};
@@ -114,7 +116,8 @@
                 let mut fleet = self.fleet.lasting_evidence(short_id(id), now);
                 let own = view.lasting_evidence.at(now);
                 fleet.add(own.attempts, own.failures, now);
-                probability = probability.max(failure_probability(&own, &fleet));
+                let lasting = failure_probability(&own, &fleet);
+                probability = cautious_probability(probability, lasting);
             }
             ids.push(id.clone());
             candidates.push(Candidate {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,8 +19,8 @@
 mod source;
 
 pub use balance::{
-    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
-    failure_probability,
+    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, cautious_probability,
+    completion_estimate, failure_probability,
 };
 pub use configuration::{CallerLimits, Configuration, Customer, Route, ServiceSpec, Target};
 pub use effect::Effect;
--- a/crates/gateway/tests/suite/placement.rs
+++ b/crates/gateway/tests/suite/placement.rs
@@ -4,8 +4,8 @@
 
 use ebonytack_core::Random;
 use ebonytack_gateway::{
-    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, completion_estimate,
-    failure_probability,
+    Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, cautious_probability,
+    completion_estimate, failure_probability,
 };
 
 const IDLE: Candidate = Candidate {
@@ -145,6 +145,19 @@
     assert!(own > 0.6, "a path that is cut for one host only");
 }
 
+#[test]
+fn orders_spread_over_instances_that_differ_by_slow_requests_only() {
+    let now = Duration::from_secs(10);
+    let none = LastingEvidence::default();
+    let mut seen = LastingEvidence::new(36.0, 0.0, now);
+    seen.add_spell(0.5, 0.5, now);
+    let slow = failure_probability(&none, &seen);
+    assert_eq!(cautious_probability(0.02, slow), 0.02);
+    seen.add_spell(1.0, 1.0, now);
+    let failed = failure_probability(&none, &seen);
+    assert!(cautious_probability(0.02, failed) > 0.1, "{failed}");
+}
+
 #[test]
 fn much_used_instances_are_not_preferred_to_well_ones_that_are_seldom_used() {
     let now = Duration::from_secs(10);
