fix(gateway): hold vanished entries only for outages of the store itself

Its log: front-qc-east-b-12, cut off from the store, was served for a moment by a host whose copy still counted as confirmed. It took that for the store's return, held the entry that had vanished, lost the path again at once and so never ended the hold; 12 s later it still sent requests to the instance.

Ruled out: missing the change (the log shows it taken, as "held").

Change: a host that answers for the store says for how long the store has been back when it had lost it. One that lost only its path knows by that that vanished entries are gone.

Test: beliefs::an_entry_that_vanished_while_only_the_path_was_lost_is_gone.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -164,7 +164,7 @@
             self.clients.note_refusal(&self.shell, source);
             return PEER_PAUSE;
         }
-        self.clients.note_success(&self.shell, source);
+        self.clients.note_success(&self.shell, source, changes);
         self.version = Some(changes.version.max(self.newest));
         self.newest = self.newest.max(changes.version);
         let copy = self.shell.copy(self.table);
--- a/crates/ebonytack/src/gateway/relay.rs
+++ b/crates/ebonytack/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use actix_service::fn_service;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use ebonytack_adapter::{Credential, RelayCall, encode_changes, relay_proof};
+use ebonytack_adapter::{Changes, Credential, RelayCall, encode_changes, relay_proof};
 use ebonytack_wire::FleetSecret;
 use eyre::Result;
 use tokio::net::TcpStream;
@@ -60,13 +60,20 @@
     match shell.copy(call.table).answer(call.after, call.wait, age_max).await {
         CopyAnswer::NotReading => empty(StatusCode::SERVICE_UNAVAILABLE),
         CopyAnswer::HistoryGone => empty(StatusCode::GONE),
-        CopyAnswer::Rows(changes) => match encode_changes(changes) {
-            Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
-            Err(error) => {
-                log::error!("relay: {:?} could not be encoded: {error}.", call.table);
-                empty(StatusCode::INTERNAL_SERVER_ERROR)
-            }
-        },
+        CopyAnswer::Rows(mut changes) => {
+            changes.back_for = shell.store_back_for();
+            encode(call, changes)
+        }
+    }
+}
+
+fn encode(call: RelayCall, changes: Changes) -> Response<BoxBody> {
+    match encode_changes(changes) {
+        Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+        Err(error) => {
+            log::error!("relay: {:?} could not be encoded: {error}.", call.table);
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
     }
 }
 
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -44,6 +44,8 @@
     pub(super) pool: Pool,
     pub(super) store: Store,
     copies: TableCopies,
+    /// When the store itself answered this host again after it had not.
+    store_back_at: Cell<Option<Instant>>,
     reports: ReportSocket,
     pub(super) log: LogQueue,
     callers: RefCell<HashMap<RequestId, oneshot::Sender<CallerAnswer>>>,
@@ -73,6 +75,7 @@
             started_at: Instant::now(),
             store: Store::new(settings.store),
             copies: TableCopies::default(),
+            store_back_at: Cell::new(None),
             settings: RefCell::new(settings),
             pool: Pool::default(),
             reports,
@@ -104,6 +107,16 @@
         self.gateway.borrow().readers(self.started_at.elapsed())
     }
 
+    /// Notes that the store itself answers this host again.
+    pub(super) fn note_store_back(&self) {
+        self.store_back_at.set(Some(Instant::now()));
+    }
+
+    /// Returns for how long the store has answered this host again, when it once did not.
+    pub(super) fn store_back_for(&self) -> Option<Duration> {
+        self.store_back_at.get().map(|at| at.elapsed())
+    }
+
     /// Returns the time since the host started.
     pub(super) fn uptime(&self) -> Duration {
         self.started_at.elapsed()
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonytack_adapter::{Credential, Store};
+use ebonytack_adapter::{Changes, Credential, Store};
 use ebonytack_core::Random;
 use ebonytack_gateway::{Event, Source, Sources};
 
@@ -57,10 +57,17 @@
     }
 
     /// Notes that a source answered.
-    pub(super) fn note_success(&self, shell: &Rc<GatewayShell>, source: Source) {
-        self.sources.borrow_mut().note_success(source);
+    pub(super) fn note_success(&self, shell: &Rc<GatewayShell>, source: Source, changes: &Changes) {
+        if self.sources.borrow_mut().note_success(source) {
+            shell.note_store_back();
+        }
         if self.lost.replace(false) {
-            shell.feed(Event::StoreRegained);
+            let back_for = match source {
+                Source::Store => shell.store_back_for().unwrap_or_default(),
+                // A host that never lost the store says nothing.
+                Source::Peer(_) => changes.back_for.unwrap_or(Duration::MAX),
+            };
+            shell.feed(Event::StoreRegained { back_for });
         }
     }
 
--- a/crates/ebonytack/src/gateway/table_copy.rs
+++ b/crates/ebonytack/src/gateway/table_copy.rs
@@ -103,7 +103,7 @@
     fn all(&self) -> Changes {
         let rows = self.rows.borrow();
         let present = rows.values().filter(|row| row.value.is_some());
-        Changes { rows: present.cloned().collect(), version: self.version.get() }
+        Changes { rows: present.cloned().collect(), version: self.version.get(), back_for: None }
     }
 
     fn since(&self, after: u64) -> Changes {
@@ -111,6 +111,6 @@
         let mut newer: Vec<Row> =
             rows.values().filter(|row| row.version > after).cloned().collect();
         newer.sort_by_key(|row| row.version);
-        Changes { rows: newer, version: self.version.get().max(after) }
+        Changes { rows: newer, version: self.version.get().max(after), back_for: None }
     }
 }
--- a/crates/ebonytack/tests/soak/callers.rs
+++ b/crates/ebonytack/tests/soak/callers.rs
@@ -101,7 +101,7 @@
             count += 1;
             let id = format!("c{}-{count}", self.index);
             // A third of the callers ask for the limited customer, far above its rate.
-            let customer = if self.index % 3 == 0 { "bar" } else { "club" };
+            let customer = if self.index.is_multiple_of(3) { "bar" } else { "club" };
             let key = match customer {
                 "bar" => "bar-key".to_owned(),
                 _ => self.newest_key(),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -47,7 +47,10 @@
     /// The store stopped answering.
     StoreLost,
     /// The store answers again.
-    StoreRegained,
+    StoreRegained {
+        /// For how long the store has answered the host that reads it, this one or another.
+        back_for: Duration,
+    },
     /// Time passed.
     Tick,
     /// A planned stop begins.
--- a/crates/gateway/src/gateway/beliefs.rs
+++ b/crates/gateway/src/gateway/beliefs.rs
@@ -136,14 +136,18 @@
 
 /// The store and the members.
 impl Gateway {
-    pub(super) fn on_store(&mut self, reachable: bool) {
+    /// Notes that the store was lost, or for how long it has been back. A host that lost its path
+    /// only, and reads from one that did not, knows that entries that vanished are gone.
+    pub(super) fn on_store(&mut self, back_for: Option<Duration>) {
+        let reachable = back_for.is_some();
         if reachable == self.store_back_at.is_some() {
             return;
         }
         self.record(Record::Store { reachable });
-        self.store_back_at = reachable.then_some(self.now);
-        if reachable {
-            self.timers.arm(self.now + self.settings.entry_return, Due::EntriesReturned);
+        self.store_back_at = back_for.map(|back_for| self.now.saturating_sub(back_for));
+        if let Some(back_at) = self.store_back_at {
+            let at = (back_at + self.settings.entry_return).max(self.now);
+            self.timers.arm(at, Due::EntriesReturned);
         }
     }
 
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -40,8 +40,8 @@
             Event::Member(member) => self.fleet.add_member(member, self.now),
             Event::MemberRemoved(name) => self.fleet.remove_member(&name, self.now),
             Event::Report(report) => self.on_report(report),
-            Event::StoreLost => self.on_store(false),
-            Event::StoreRegained => self.on_store(true),
+            Event::StoreLost => self.on_store(None),
+            Event::StoreRegained { back_for } => self.on_store(Some(back_for)),
             Event::Tick => self.next_wake = None,
             Event::Stop => self.on_stop(),
         }
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -79,12 +79,10 @@
         chosen.ok_or(wait)
     }
 
-    /// Notes that a source answered.
-    pub fn note_success(&mut self, source: Source) {
+    /// Notes that a source answered; returns whether that is the store after it did not answer.
+    pub fn note_success(&mut self, source: Source) -> bool {
         self.paused_until.remove(&source);
-        if source == Source::Store {
-            self.store_lost = false;
-        }
+        source == Source::Store && std::mem::take(&mut self.store_lost)
     }
 
     /// Notes that a peer does not read the store now.
--- a/crates/gateway/tests/suite/beliefs.rs
+++ b/crates/gateway/tests/suite/beliefs.rs
@@ -65,7 +65,7 @@
     bench.ask("/order/1", KEY);
     bench.only_sent();
     bench.pass(Duration::from_secs(5));
-    bench.feed(Event::StoreRegained);
+    bench.feed(Event::StoreRegained { back_for: Duration::ZERO });
     bench.feed(Event::AllInstances(Vec::new()));
     bench.pass(Duration::from_millis(1_500));
     bench.ask("/order/1", KEY);
@@ -80,7 +80,7 @@
     let mut bench = Bench::new(1);
     bench.feed(Event::StoreLost);
     bench.feed(Event::InstanceRemoved("i-0".to_owned()));
-    bench.feed(Event::StoreRegained);
+    bench.feed(Event::StoreRegained { back_for: Duration::ZERO });
     bench.feed(Event::Instance(instance(0)));
     bench.pass(Duration::from_secs(5));
     bench.ask("/order/1", KEY);
@@ -153,3 +153,18 @@
     bench.ask("/lookup/1", KEY);
     bench.only_sent();
 }
+
+#[test]
+fn an_entry_that_vanished_while_only_the_path_was_lost_is_gone() {
+    let mut bench = Bench::new(2);
+    bench.feed(Event::StoreLost);
+    bench.pass(Duration::from_millis(500));
+    bench.feed(Event::StoreRegained { back_for: Duration::MAX });
+    bench.feed(Event::InstanceRemoved("i-0".to_owned()));
+    // The path is lost again before entries could have come back.
+    bench.feed(Event::StoreLost);
+    for _ in 0..8 {
+        bench.ask("/order/1", Some("club-key"));
+        assert_eq!(bench.only_sent().1, "i-1");
+    }
+}
--- a/crates/gateway/tests/suite/sources.rs
+++ b/crates/gateway/tests/suite/sources.rs
@@ -66,7 +66,7 @@
     let then = NOW + wait;
     assert_eq!(first.choose(&readers(1), then), Ok(Source::Store));
     assert_ne!(first.choose(&readers(1), then), Ok(Source::Store));
-    first.note_success(Source::Store);
+    assert!(first.note_success(Source::Store));
     assert_eq!(first.choose(&readers(1), then), Ok(Source::Store));
 }
 
