--- a/crates/ebonytack/tests/soak/hosts.rs
+++ b/crates/ebonytack/tests/soak/hosts.rs
@@ -42,7 +42,7 @@
     pub(crate) version: u32,
     /// When which instance's leaving was accepted by the store.
     pub(crate) left: Vec<(usize, Instant)>,
-    /// Whether the club's key is the one of this version.
+    /// The keys that the club had, with when each was written.
     pub(crate) keys: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
