revert(gateway): let successes before a failure count again

An instance there fails once in about 5 s (1,154 failed runs on 179 instances in 30 s), so with a memory of 5 s that forgets successes most instances were suspects at any time, and the orders queued on the rest.

Ruled out: processor time (the other service is as fast as before).

The threshold for suspects stays.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -19,9 +19,6 @@
 const FAILURE_PRIOR: f64 = 0.02;
 /// How many attempts the expectation counts for.
 const FAILURE_PRIOR_ATTEMPTS: f64 = 2.0;
-/// The share of remembered successes that still counts after a failure: one failure among many
-/// successes makes an instance suspect, a second one has it avoided.
-const SUCCESSES_KEPT: f64 = 0.2;
 /// The probability of failure from which the longer memory counts. Below it, it tells instances
 /// apart by chance, and all hosts would send to the few that look best.
 const SUSPECT_PROBABILITY: f64 = 0.09;
@@ -98,18 +95,6 @@
     }
 }
 
-impl LastingEvidence {
-    /// Adds attempts. An upstream fails in spells: what went well before a failure says little
-    /// about what comes after it, so the memory of successes shrinks with each failure.
-    pub fn add_spell(&mut self, attempts: f64, failures: f64, now: Duration) {
-        let mut kept = self.at(now);
-        let successes = (kept.attempts - kept.failures).max(0.0);
-        kept.attempts = kept.failures + successes * SUCCESSES_KEPT.powf(failures);
-        *self = kept;
-        self.add(attempts, failures, now);
-    }
-}
-
 /// Returns the probability that the next attempt fails. The own evidence can be worse than that
 /// of the fleet, since a path can be cut for one host only.
 pub fn failure_probability<const HALF_LIFE_MS: u64>(
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -399,7 +399,7 @@
     now: Duration,
 ) {
     for new in news {
-        evidence.entry(new.instance).or_default().add_spell(new.attempts, new.failures, now);
+        evidence.entry(new.instance).or_default().add(new.attempts, new.failures, now);
     }
 }
 
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -267,7 +267,7 @@
 impl InstanceView {
     fn note_attempts(&mut self, attempts: f64, failures: f64, now: Duration) {
         self.evidence.add(attempts, failures, now);
-        self.lasting_evidence.add_spell(attempts, failures, now);
+        self.lasting_evidence.add(attempts, failures, now);
     }
 }
 
