fix(core): name what cannot be read or encoded instead of dropping it

Cause: places that dropped an error or took a default were not all looked at.

Ruled out: making all of them errors of their callers; the refusal's status and headers still tell its caller what happened, and peers ask again for changes that did not come.

Change: these are refused or named in the log; each other place states its reason.

--- a/crates/core/src/claim/record.rs
+++ b/crates/core/src/claim/record.rs
@@ -66,7 +66,7 @@
         format!("claim/{}/{}", self.customer, self.key)
     }
 
-    /// Returns the key whose claim has a row of this name.
+    /// Returns the key whose claim has a row of this name; `None` for other rows.
     pub(crate) fn from_row_name(name: &str) -> Option<Self> {
         let (customer, key) = name.strip_prefix("claim/")?.split_once('/')?;
         let key = KeyHash::try_from(key.to_owned()).ok()?;
--- a/crates/core/src/health/instance_view.rs
+++ b/crates/core/src/health/instance_view.rs
@@ -89,6 +89,7 @@
 
     /// Returns the share of its usual requests that a cold instance gets.
     fn warmth(&self, now: Duration) -> f64 {
+        // One that was there from the start has been warm since.
         let began_at = self.began_at.unwrap_or_default();
         let part = now.saturating_sub(began_at).as_secs_f64() / COLD_TIME.as_secs_f64();
         COLD_SHARE + (1.0 - COLD_SHARE) * part
--- a/crates/core/src/health/service_view.rs
+++ b/crates/core/src/health/service_view.rs
@@ -59,7 +59,7 @@
         median.map_or(TAIL_DEFAULT, |median| (median * TAIL_MEDIANS).max(TAIL_MIN))
     }
 
-    /// Returns the median latency.
+    /// Returns the median latency; zero before any request.
     pub(crate) fn median(&self) -> Duration {
         self.latencies.quantile(0.5).unwrap_or_default()
     }
--- a/crates/core/src/host/claims.rs
+++ b/crates/core/src/host/claims.rs
@@ -78,9 +78,16 @@
 
     fn write_claim_row(&mut self, request: RequestId) {
         let Some((row, record)) = self.claims.row(request) else { return };
+        let value = match serde_json::to_string(&record) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                // A write without a value would remove the row; the votes still hold the claim.
+                self.out.notice(format!("claim: {row} cannot be encoded: {error}."));
+                return;
+            }
+        };
         let call = self.new_call();
         self.claims.calls.insert(call, (request, row.clone()));
-        let value = serde_json::to_string(&record).ok();
         let conditions = vec![(row.clone(), 0)];
         let request = TableRequest::Commit { conditions, writes: vec![(row, value)] };
         self.out.push(Effect::Table { call, request });
--- a/crates/core/src/host/operators.rs
+++ b/crates/core/src/host/operators.rs
@@ -87,7 +87,8 @@
     fn on_poll(&mut self, sent_at: Duration, answer: &TableAnswer) {
         let TableAnswer::Rows(rows) = answer else { return };
         let before = self.configuration.revision;
-        self.take_changes(&ChangeSet::Changes(parse_changes(rows)));
+        let changes = self.parse_changes(rows);
+        self.take_changes(&ChangeSet::Changes(changes));
         if rows.len() >= CHANGE_SCAN_ROWS as usize {
             self.poll_table();
         } else {
@@ -166,7 +167,16 @@
         };
         let revision = self.configuration.revision + 1;
         let change = Change { revision, change_id, author, made_at_unix_ms, operations, before };
-        let value = serde_json::to_string(&change).ok();
+        let value = match serde_json::to_string(&change) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                // A write without a value would remove the row.
+                let message = format!("the change cannot be encoded: {error}");
+                self.out.notice(format!("audit: revision {revision}: {message}."));
+                self.reply_if(operator, OperatorReply::Refused { message });
+                return;
+            }
+        };
         let row = change_row(revision);
         let call = self.new_call();
         self.calls.insert(call, PendingCall::Write { operator, change });
@@ -197,7 +207,7 @@
     /// Settles a write without an answer by what the table has now.
     fn on_settled_write(&mut self, operator: Option<CallId>, change: Change, answer: &TableAnswer) {
         let found = match answer {
-            TableAnswer::Rows(rows) => parse_changes(rows).into_iter().next(),
+            TableAnswer::Rows(rows) => self.parse_changes(rows).into_iter().next(),
             _ => None,
         };
         match found {
@@ -248,7 +258,7 @@
 
     fn on_audit_rows(&mut self, operator: CallId, answer: &TableAnswer) {
         let reply = match answer {
-            TableAnswer::Rows(rows) => OperatorReply::Audit { changes: parse_changes(rows) },
+            TableAnswer::Rows(rows) => OperatorReply::Audit { changes: self.parse_changes(rows) },
             _ => OperatorReply::Unavailable,
         };
         self.reply(operator, reply);
@@ -332,6 +342,20 @@
         self.out.push(Effect::Reply { call, reply });
     }
 
+    /// Reads changes from their rows. A row that cannot be read is named in the log.
+    fn parse_changes(&mut self, rows: &[TableRow]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for row in rows {
+            match serde_json::from_str(&row.value) {
+                Ok(change) => changes.push(change),
+                Err(error) => {
+                    self.out.notice(format!("audit: row {} is not readable: {error}.", row.name));
+                }
+            }
+        }
+        changes
+    }
+
     fn reply_if(&mut self, call: Option<CallId>, reply: OperatorReply) {
         if let Some(call) = call {
             self.reply(call, reply);
@@ -342,7 +366,3 @@
 fn change_row(revision: Revision) -> String {
     format!("{CHANGE_ROW_PREFIX}{revision:012}")
 }
-
-fn parse_changes(rows: &[TableRow]) -> Vec<Change> {
-    rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok()).collect()
-}
--- a/crates/core/src/lease/holding.rs
+++ b/crates/core/src/lease/holding.rs
@@ -45,6 +45,7 @@
     pub(crate) fn valid_until(&self) -> Duration {
         let mut untils: Vec<Duration> = self.supports.values().copied().collect();
         untils.sort_unstable_by(|a, b| b.cmp(a));
+        // Without a majority the lease was never valid.
         untils.get(majority(self.voters) - 1).copied().unwrap_or_default()
     }
 }
--- a/crates/core/src/trace.rs
+++ b/crates/core/src/trace.rs
@@ -36,8 +36,8 @@
     for (index, line) in lines.enumerate() {
         let record: TraceRecord = parse(line, index + 2)?;
         let effects = host.step(record.at, record.event);
-        let found = serde_json::to_string(&effects).unwrap_or_default();
-        let allowed = serde_json::to_string(&record.effects).unwrap_or_default();
+        let found = encode(&effects, index + 2)?;
+        let allowed = encode(&record.effects, index + 2)?;
         if found != allowed {
             let path = format!("line {}", index + 2);
             return Err(Error::new(ErrorKind::TraceMismatch, path, found, allowed));
@@ -47,6 +47,14 @@
     Ok(steps)
 }
 
+/// Encodes effects for the comparison. What cannot be encoded must not compare as equal.
+fn encode(effects: &[Effect], number: usize) -> Result<String> {
+    serde_json::to_string(effects).map_err(|error| {
+        let path = format!("line {number}");
+        Error::new(ErrorKind::Syntax, path, error.to_string(), "effects that can be encoded")
+    })
+}
+
 fn parse<'a, T: Deserialize<'a>>(line: &'a str, number: usize) -> Result<T> {
     serde_json::from_str(line).map_err(|error| {
         let path = format!("line {number}");
--- a/crates/core/tests/suite/host.rs
+++ b/crates/core/tests/suite/host.rs
@@ -1,8 +1,8 @@
 //! Whole steps of a host.
 
 use ebonytack_core::{
-    AttemptOutcome, Effect, Event, FailureKind, RefusalReason, RunState, TraceHeader, TraceRecord,
-    replay,
+    AttemptOutcome, Effect, Event, FailureKind, RefusalReason, RunState, TableAnswer, TableRequest,
+    TableRow, TraceHeader, TraceRecord, replay,
 };
 
 use crate::support::{lookup, ms, running_host};
@@ -81,3 +81,26 @@
     lines[40] = changed;
     assert!(replay(lines.iter().map(String::as_str)).is_err());
 }
+
+#[test]
+fn a_change_that_cannot_be_read_is_named_in_the_log() {
+    let mut host = running_host();
+    let mut asked = None;
+    for step in 0..200 {
+        let effects = host.step(ms(4_000 + step * 25), Event::Tick);
+        asked = effects.iter().find_map(|effect| match effect {
+            Effect::Table { call, request: TableRequest::Scan { .. } } => Some(*call),
+            _ => None,
+        });
+        if asked.is_some() {
+            break;
+        }
+    }
+    let name = "change/000000000009".to_owned();
+    let row = TableRow { name: name.clone(), version: 9, value: "{torn".to_owned() };
+    let answer = TableAnswer::Rows(vec![row]);
+    let call = asked.expect("the host asks the table for changes");
+    let effects = host.step(ms(10_000), Event::Table { call, answer });
+    let named = |effect: &Effect| matches!(effect, Effect::Notice(text) if text.contains(&name));
+    assert!(effects.iter().any(named), "{effects:?}");
+}
--- a/crates/ebonyctl/src/command/audit.rs
+++ b/crates/ebonyctl/src/command/audit.rs
@@ -9,6 +9,7 @@
 use crate::table;
 
 pub(super) async fn run(context: &Context, arguments: &ArgMatches) -> Result<(), Failure> {
+    // The command line gives each a default.
     let number = |id: &str| arguments.get_one::<u64>(id).copied().unwrap_or_default();
     let limit = u32::try_from(number("limit")).unwrap_or(u32::MAX);
     let request = OperatorRequest::Audit { after: number("after"), limit };
--- a/crates/ebonyctl/src/command/change.rs
+++ b/crates/ebonyctl/src/command/change.rs
@@ -71,6 +71,7 @@
 
 /// Returns the time in milliseconds since 1970.
 pub(super) fn now_unix_ms() -> u64 {
+    // A clock before 1970 counts as zero.
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/ebonyctl/src/command/declaration.rs
+++ b/crates/ebonyctl/src/command/declaration.rs
@@ -61,6 +61,7 @@
 fn print(revision: u64, operations: &[Operation]) {
     println!("{} changes from revision {revision}:", operations.len());
     for operation in operations {
+        // A value that cannot be shown leaves the line with its subject.
         let json = serde_json::to_value(operation).unwrap_or_default();
         match json.get("value") {
             None | Some(Value::Null) => println!("- {}", operation.subject()),
--- a/crates/ebonyctl/src/command/explain.rs
+++ b/crates/ebonyctl/src/command/explain.rs
@@ -51,6 +51,7 @@
         Some(Self { time_s, fields })
     }
 
+    /// Returns a field, or nothing when the line does not have it.
     fn text(&self, field: &str) -> &str {
         self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
     }
--- a/crates/ebonyctl/src/command/mod.rs
+++ b/crates/ebonyctl/src/command/mod.rs
@@ -62,6 +62,7 @@
         }
         let token = match arguments.get_one::<PathBuf>("token-file") {
             Some(path) => read(path)?.trim().to_owned(),
+            // Hosts refuse a call without a token, which tells the operator.
             None => std::env::var("EBONYCTL_TOKEN").unwrap_or_default(),
         };
         Ok(Self {
--- a/crates/ebonyctl/src/command/profile.rs
+++ b/crates/ebonyctl/src/command/profile.rs
@@ -21,6 +21,7 @@
         Some(("edit", arguments)) => {
             let name = text(arguments, "name");
             let profile = find(&declaration, name)?;
+            // The command line requires one.
             let sets = arguments.get_many::<String>("set").unwrap_or_default();
             let value = Some(edit(&profile, sets)?);
             let operation = Operation::Profile { id: name.to_owned(), value };
--- a/crates/ebonytack/src/admin/handler.rs
+++ b/crates/ebonytack/src/admin/handler.rs
@@ -55,7 +55,14 @@
     };
     match shell.ask(question).await {
         Some(reply) => {
-            let json = serde_json::to_string(&reply).unwrap_or_default();
+            let json = match serde_json::to_string(&reply) {
+                Ok(json) => json,
+                Err(error) => {
+                    log::error!("admin: a reply could not be encoded: {error}.");
+                    let detail = "The reply could not be encoded.\n";
+                    return text(StatusCode::INTERNAL_SERVER_ERROR, detail);
+                }
+            };
             let mut response = Response::build(StatusCode::OK);
             response.insert_header((CONTENT_TYPE, "application/json"));
             response.body(json).map_into_boxed_body()
--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -172,7 +172,7 @@
     }
 }
 
-/// Returns the host without port.
+/// Returns the host without port. One that is missing or not text matches no route.
 fn host_name(headers: &HeaderMap) -> String {
     let host = headers.get(HOST).and_then(|value| value.to_str().ok()).unwrap_or_default();
     match host.rsplit_once(':') {
--- a/crates/ebonytack/src/gateway/log_queue.rs
+++ b/crates/ebonytack/src/gateway/log_queue.rs
@@ -111,6 +111,7 @@
 
     fn push(&self, part: &str, content: impl Serialize) {
         let line = Line { time: unix_time(), host: &self.host, part, content };
+        // A line that cannot be encoded is counted with those that found the writer busy.
         let written = serde_json::to_string(&line).ok().map(|text| Job::Write(text + "\n"));
         if written.is_none_or(|job| self.jobs.try_send(job).is_err()) {
             self.left_out.set(self.left_out.get() + 1);
@@ -170,6 +171,7 @@
         let mut gathered = false;
         let mut next = Some(first);
         loop {
+            // No further job is waiting, or the queue is closed, which the next receive shows.
             match next.take().or_else(|| jobs.try_recv().ok()) {
                 Some(Job::Write(line)) => text.push_str(&line),
                 Some(Job::Flush(done)) => {
--- a/crates/ebonytack/src/gateway/relay.rs
+++ b/crates/ebonytack/src/gateway/relay.rs
@@ -43,6 +43,7 @@
     secret: &FleetSecret,
     request: &Request,
 ) -> Response<BoxBody> {
+    // A target without a path proves nothing and is refused.
     let path = request.uri().path_and_query().map(|path| path.as_str()).unwrap_or_default();
     let proof = relay_proof(request.headers());
     // What is no proof is refused like a wrong one.
--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -45,6 +45,7 @@
 }
 
 async fn serve(file: GatewayFile, log: LogQueue, metrics: PrometheusHandle) -> Result<()> {
+    // A clock before 1970 counts as zero; peers then hear this process after its predecessors.
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX);
     let secret = FleetSecret::new(&file.fleet_secret);
--- a/crates/ebonytack/src/gateway/settings.rs
+++ b/crates/ebonytack/src/gateway/settings.rs
@@ -116,6 +116,7 @@
 }
 
 fn address(faults: &mut Vec<Fault>, path: &str, text: &str) -> Option<SocketAddr> {
+    // The fault that follows names the text.
     let address = text.parse().ok();
     if address.is_none() {
         let allowed = "an IP number and a port, such as 10.0.0.1:8080";
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -127,7 +127,8 @@
         !self.draining.get() && self.gateway.borrow().is_ready()
     }
 
-    /// Returns the longest body that a caller may send, by the configuration in force.
+    /// Returns the longest body that a caller may send, by the configuration in force, or the
+    /// default before there is one.
     pub(super) fn body_max_bytes(&self) -> usize {
         let gateway = self.gateway.borrow();
         gateway.configuration().map(|c| c.limits).unwrap_or_default().body_max_bytes
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -63,6 +63,7 @@
         }
         if self.lost.replace(false) {
             let back_for = match source {
+                // Without an earlier loss of its own the store is back as of now.
                 Source::Store => shell.store_back_for().unwrap_or_default(),
                 // A host that never lost the store says nothing.
                 Source::Peer(_) => changes.back_for.unwrap_or(Duration::MAX),
--- a/crates/ebonytack/src/lib.rs
+++ b/crates/ebonytack/src/lib.rs
@@ -30,6 +30,7 @@
         }
     };
     let Some((name, arguments)) = matches.subcommand() else { return wrong_input() };
+    // An absent path cannot be read, which the error then names.
     let path = arguments.get_one::<std::path::PathBuf>("settings").cloned().unwrap_or_default();
     if name == "gateway" {
         return run_gateway(&path, arguments.get_flag("check"));
--- a/crates/ebonytack/src/proxy/answer.rs
+++ b/crates/ebonytack/src/proxy/answer.rs
@@ -61,10 +61,12 @@
         if answer.body.is_empty()
             && let Some(length) = answer.headers.get(CONTENT_LENGTH)
         {
+            // A length that is no number has no body to go with it.
             response.no_chunking(length.to_str().ok().and_then(|l| l.parse().ok()).unwrap_or(0));
         }
         return response.body(answer.body).map_into_boxed_body();
     };
+    // Without a readable length the answer is sent in chunks.
     let length = answer.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let size = length.and_then(|text| text.parse().ok()).map_or(BodySize::Stream, BodySize::Sized);
     let body = StreamedBody { size, first: Some(answer.body), rest, guard: Some(guard) };
@@ -79,6 +81,7 @@
     if let Some(content_type) = answer.content_type {
         response.insert_header((CONTENT_TYPE, content_type));
     }
+    // A body that was too large to record was not kept.
     response.body(answer.body.unwrap_or_default()).map_into_boxed_body()
 }
 
--- a/crates/ebonytack/src/proxy/head.rs
+++ b/crates/ebonytack/src/proxy/head.rs
@@ -89,7 +89,7 @@
     Ok(())
 }
 
-/// Separates the key from the other query parameters.
+/// Separates the key from the other query parameters; no query has none.
 fn split_query(query: Option<&str>) -> (String, Vec<String>) {
     let mut kept = Vec::new();
     let mut keys = Vec::new();
@@ -108,6 +108,7 @@
     let mut bytes = Vec::with_capacity(text.len());
     let mut rest = text.as_bytes();
     while let [first, tail @ ..] = rest {
+        // What is no escape stands for itself.
         let digits = tail.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
         let byte = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
         match (first, byte) {
--- a/crates/ebonytack/src/proxy/headers.rs
+++ b/crates/ebonytack/src/proxy/headers.rs
@@ -40,6 +40,7 @@
 
 /// Returns the headers that do not concern one connection only, without the length.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    // What is no header name can name no header to leave out.
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .filter_map(|value| value.to_str().ok())
--- a/crates/ebonytack/src/proxy/problem.rs
+++ b/crates/ebonytack/src/proxy/problem.rs
@@ -42,5 +42,10 @@
     if let Some(wait) = refusal.retry_after {
         builder.insert_header((RETRY_AFTER, wait.as_secs().max(1)));
     }
-    builder.body(serde_json::to_string(&body).unwrap_or_default()).map_into_boxed_body()
+    let json = serde_json::to_string(&body).unwrap_or_else(|error| {
+        // The status and the headers still tell the caller what happened.
+        log::error!("request: {request_id}: the refusal could not be encoded: {error}.");
+        String::new()
+    });
+    builder.body(json).map_into_boxed_body()
 }
--- a/crates/ebonytack/src/runtime/platform_link.rs
+++ b/crates/ebonytack/src/runtime/platform_link.rs
@@ -29,7 +29,12 @@
             PlatformSettings::Http(address) => Self::Http(Rc::new(HttpPlatform::new(*address))),
             PlatformSettings::Embedded(declaration) => {
                 let platform = MemoryPlatform::default();
-                platform.table(first_change(declaration)).await;
+                match first_change(declaration) {
+                    Ok(change) => {
+                        platform.table(change).await;
+                    }
+                    Err(error) => log::error!("start: the declaration was not taken: {error}."),
+                }
                 Self::Embedded(Rc::new(platform))
             }
         }
@@ -80,7 +85,7 @@
 }
 
 /// Returns the write that puts a declaration into an empty table.
-fn first_change(declaration: &RawDeclaration) -> TableRequest {
+fn first_change(declaration: &RawDeclaration) -> serde_json::Result<TableRequest> {
     let operations = difference(&RawDeclaration::default(), declaration);
     let before = operations.iter().map(|_| serde_json::Value::Null).collect();
     let change = Change {
@@ -91,7 +96,7 @@
         operations,
         before,
     };
-    let value = serde_json::to_string(&change).ok();
+    let value = Some(serde_json::to_string(&change)?);
     let row = "change/000000000001".to_owned();
-    TableRequest::Commit { conditions: vec![(row.clone(), 0)], writes: vec![(row, value)] }
+    Ok(TableRequest::Commit { conditions: vec![(row.clone(), 0)], writes: vec![(row, value)] })
 }
--- a/crates/ebonytack/src/runtime/serve.rs
+++ b/crates/ebonytack/src/runtime/serve.rs
@@ -79,6 +79,7 @@
 }
 
 fn identity(settings: &Settings) -> Identity {
+    // A clock before 1970 counts as zero.
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Identity {
         host: settings.host,
--- a/crates/ebonytack/src/runtime/shell.rs
+++ b/crates/ebonytack/src/runtime/shell.rs
@@ -150,6 +150,7 @@
         let (sender, receiver) = oneshot::channel();
         self.operators.borrow_mut().insert(call, sender);
         self.feed(Event::Operator { call, request });
+        // The reducer gives no reply when the host stops.
         receiver.await.ok()
     }
 
--- a/crates/ebonytack/src/upstream/attempt.rs
+++ b/crates/ebonytack/src/upstream/attempt.rs
@@ -54,6 +54,7 @@
 }
 
 fn store(answer: &UpstreamAnswer) -> StoredAnswer {
+    // A type that is not text is left out of the record.
     let content_type = answer.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     let whole = answer.rest.is_none() && answer.body.len() <= STORED_MAX_BYTES;
     StoredAnswer {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -162,6 +162,7 @@
         }
         let silent = |name: &&String| {
             self.peers.get(*name).is_some_and(|peer| {
+                // One that was never heard is silent since it became known.
                 let since = peer.heard_at.unwrap_or_default().max(peer.known_since);
                 peer.data_centre == self.data_centre && now > since + SILENCE_MAX
             })
@@ -361,7 +362,7 @@
         sums
     }
 
-    /// Returns what the other hosts saw of an instance over a longer time.
+    /// Returns what the other hosts saw of an instance over a longer time; nothing when none did.
     pub(crate) fn lasting_evidence(&self, id: ShortId, now: Duration) -> LastingEvidence {
         self.lasting_evidence.get(&id).map(|evidence| evidence.at(now)).unwrap_or_default()
     }
@@ -378,7 +379,7 @@
         all.filter_map(|section| section.customers.get(&id)).map(|(_, demand)| demand).sum()
     }
 
-    /// Returns the age of the oldest report that counts.
+    /// Returns the age of the oldest report that counts; zero when there is none.
     pub(crate) fn oldest_report_age(&self, now: Duration) -> Duration {
         let near = self.near_peers(now).map(|peer| &peer.section);
         let ages = near.chain(self.far_sections(now)).map(|s| now.saturating_sub(s.as_of));
@@ -480,6 +481,7 @@
         let as_of = now.saturating_sub(Duration::from_millis(u64::from(section.age_ms)));
         let new = section.instances.iter().map(|report| {
             let known = self.instances.get(&report.id).map(|(_, evidence)| evidence.at(as_of));
+            // An instance that was not in the last section was not tried.
             let known = known.unwrap_or_default();
             NewAttempts {
                 instance: report.id,
--- a/crates/gateway/src/gateway/placing.rs
+++ b/crates/gateway/src/gateway/placing.rs
@@ -106,6 +106,7 @@
             if !usable || active.tried.contains(id) {
                 continue;
             }
+            // What nobody reports has no requests under way elsewhere.
             let sum = sums.get(&short_id(id)).copied().unwrap_or_default();
             let mut fleet = sum.evidence.at(now);
             let own = view.evidence.at(now);
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -86,6 +86,7 @@
 
     fn hasten_far_report(&mut self) {
         self.far_report_urgent = true;
+        // A host that has not reported yet may do so at once.
         let last = self.far_reported_at.unwrap_or_default();
         self.timers.arm((last + FAR_URGENT_INTERVAL).max(self.now), Due::FarReport);
     }
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -99,6 +99,7 @@
                 return target.service.clone();
             }
         }
+        // Rounding may leave a rest. A route without targets names no service, which has no instance.
         targets.last().map(|target| target.service.clone()).unwrap_or_default()
     }
 
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -67,6 +67,7 @@
             order.extend(peers(&readers.after));
         }
         let paused = |source: &Source| {
+            // A source that was not noted is not paused.
             let until = self.paused_until.get(source).copied().unwrap_or_default();
             until.saturating_sub(now)
         };
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -246,11 +246,12 @@
 
 fn keeps_open(head: &ResponseHead) -> bool {
     let closes = |value: &str| value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"));
+    // A value that is not text cannot say "close".
     let mut values = head.headers().get_all(CONNECTION).filter_map(|value| value.to_str().ok());
     head.version == actix_http::Version::HTTP_11 && !values.any(closes)
 }
 
-/// Reads `timeout` from the `Keep-Alive` header, in seconds.
+/// Reads `timeout` from the `Keep-Alive` header, in seconds; `None` when it says none.
 fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -74,12 +74,17 @@
 
     async fn hosts(&self) -> Option<Vec<HostEntry>> {
         let request = self.client.get(format!("{}/v1/hosts", self.base));
-        let mut response = request.send().await.ok()?;
+        let refused = |error: &dyn std::fmt::Display| {
+            log::warn!("platform: the host list was not read: {error}.");
+        };
+        let mut response = request.send().await.inspect_err(|error| refused(error)).ok()?;
         if response.status() != StatusCode::OK {
+            refused(&response.status());
             return None;
         }
-        let body = response.body().limit(ANSWER_MAX_BYTES).await.ok()?;
-        serde_json::from_slice(&body).ok()
+        let body = response.body().limit(ANSWER_MAX_BYTES).await;
+        let body = body.inspect_err(|error| refused(error)).ok()?;
+        serde_json::from_slice(&body).inspect_err(|error| refused(error)).ok()
     }
 
     async fn register(&self, entry: HostEntry) -> bool {
--- a/crates/wire/src/encode/mod.rs
+++ b/crates/wire/src/encode/mod.rs
@@ -85,6 +85,7 @@
         Message::NotHolder { shard, holder } => {
             let mut to = to.init_not_holder();
             to.set_shard(*shard);
+            // The value counts only with the flag beside it.
             to.set_holder(holder.unwrap_or_default());
             to.set_holder_known(holder.is_some());
         }
@@ -119,7 +120,12 @@
 }
 
 fn changes_json(changes: Option<&ChangeSet>) -> Vec<u8> {
-    changes.and_then(|changes| serde_json::to_vec(changes).ok()).unwrap_or_default()
+    let Some(changes) = changes else { return Vec::new() };
+    serde_json::to_vec(changes).unwrap_or_else(|error| {
+        // Peers take no changes from the message and ask again.
+        log::error!("peer: changes could not be encoded: {error}.");
+        Vec::new()
+    })
 }
 
 fn encode_keys(mut to: capnp::data_list::Builder<'_>, keys: &[KeyHash]) {
--- a/crates/wire/src/signature.rs
+++ b/crates/wire/src/signature.rs
@@ -31,6 +31,7 @@
         mac.verify_slice(signature).map_err(|_| refused())
     }
 
+    /// Returns `None` never: HMAC takes keys of any length. Without a code nothing verifies.
     fn mac(&self, bytes: &[u8]) -> Option<Hmac<Sha256>> {
         let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).ok()?;
         mac.update(bytes);
