refactor(gateway): decide in the reducer's crate what a host answers for the store

Cause: whether a host may answer for the store, from which version on and with which rows was decided in the runtime beside its waits, without a test; the rows' types stood in platform/. And a fault: a store that hides changes from a wait, forgets its history and is read again at the version that the wait gave told other hosts nothing, since they knew that version.

Ruled out: an epoch in the relayed calls; it has all hosts read all rows at each new reader.

Change: crates/gateway/src/table.rs decides, without I/O and clock; the runtime keeps the waits. Rows that were hidden are told to hosts that know the version. platform/ keeps the calls and their encoding, and decides nothing: settings' bounds, headers, configuration, instances, members and the store's calls are each read into the product's types.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use ebonytack_adapter::{
-    CONFIGURATION_KEY, Changes, Row, StoreError, StoreErrorKind, Table, decode_configuration,
-    decode_instance, decode_member, encode_member,
+    CONFIGURATION_KEY, StoreError, StoreErrorKind, Table, decode_configuration, decode_instance,
+    decode_member, encode_member,
 };
-use ebonytack_gateway::{Event, Member, Source};
+use ebonytack_gateway::{Changes, Event, Member, Row, Source};
 
 use super::shell::GatewayShell;
 use super::sources::SourceClients;
@@ -303,7 +303,7 @@
             return;
         }
     };
-    if shell.copy(Table::Members).value(&member.name).is_some_and(|stored| stored == value) {
+    if shell.copy(Table::Members).has(&member.name, &value) {
         return;
     }
     match shell.store.put_member(&member.name, &value).await {
--- a/crates/ebonytack/src/gateway/relay.rs
+++ b/crates/ebonytack/src/gateway/relay.rs
@@ -9,14 +9,14 @@
 use actix_service::fn_service;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use ebonytack_adapter::{Changes, Credential, RelayCall, encode_changes, relay_proof};
+use ebonytack_adapter::{Credential, RelayCall, encode_changes, relay_proof};
+use ebonytack_gateway::{Changes, CopyRefusal};
 use ebonytack_wire::FleetSecret;
 use eyre::Result;
 use tokio::net::TcpStream;
 
 use super::follow::confirmed_age_max;
 use super::shell::GatewayShell;
-use super::table_copy::CopyAnswer;
 use crate::runtime::{ConnectionTask, connection_service};
 
 /// Returns what proves to other hosts that a call comes from the fleet.
@@ -59,9 +59,9 @@
     };
     let age_max = confirmed_age_max(call.table);
     match shell.copy(call.table).answer(call.after, call.wait, age_max).await {
-        CopyAnswer::NotReading => empty(StatusCode::SERVICE_UNAVAILABLE),
-        CopyAnswer::HistoryGone => empty(StatusCode::GONE),
-        CopyAnswer::Rows(mut changes) => {
+        Err(CopyRefusal::NotReading) => empty(StatusCode::SERVICE_UNAVAILABLE),
+        Err(CopyRefusal::HistoryGone) => empty(StatusCode::GONE),
+        Ok(mut changes) => {
             changes.back_for = shell.store_back_for();
             encode(call, changes)
         }
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -17,7 +17,7 @@
 use super::pool::Pool;
 use super::reports::ReportSocket;
 use super::settings::GatewayFile;
-use super::table_copy::TableCopy;
+use super::table_copy::SharedCopy;
 use crate::observe;
 
 /// What a caller gets.
@@ -31,9 +31,9 @@
 /// The copies of all tables.
 #[derive(Default)]
 struct TableCopies {
-    operator: TableCopy,
-    instances: TableCopy,
-    members: TableCopy,
+    operator: SharedCopy,
+    instances: SharedCopy,
+    members: SharedCopy,
 }
 
 /// The runtime's state around one reducer.
@@ -94,7 +94,7 @@
     }
 
     /// Returns the copy of a table.
-    pub(super) fn copy(&self, table: Table) -> &TableCopy {
+    pub(super) fn copy(&self, table: Table) -> &SharedCopy {
         match table {
             Table::Operator => &self.copies.operator,
             Table::Instances => &self.copies.instances,
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonytack_adapter::{Changes, Credential, Store};
+use ebonytack_adapter::{Credential, Store};
 use ebonytack_core::Random;
-use ebonytack_gateway::{Event, Source, Sources};
+use ebonytack_gateway::{Changes, Event, Source, Sources};
 
 use super::shell::GatewayShell;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod report;
 mod request;
 mod source;
+mod table;
 
 pub use balance::{
     Candidate, Demand, Evidence, LastingEvidence, Patience, Placement, cautious_probability,
@@ -33,3 +34,4 @@
 pub use report::{CustomerReport, InstanceReport, Report, Section};
 pub use request::Arrival;
 pub use source::{Readers, Source, Sources};
+pub use table::{Changes, CopyAnswer, CopyRefusal, Row, TableCopy};
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -7,3 +7,4 @@
 mod placement;
 mod sources;
 mod support;
+mod tables;
