fix(gateway): log who reads the store once, not at each attempt

Wanted is one line a dependency lost or regained.

Ruled out: a lower level; then the first failure would be missing too.

Change: a line when a table is read from another source than before, and one for the first failure since; the counter of failures goes on. The word for rows that hosts have not seen is the same in field and comment.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -74,7 +74,8 @@
     table: Table,
     member: Member,
 ) {
-    let mut follower = Follower { shell, clients, table, version: None, newest: 0, source: None };
+    let mut follower =
+        Follower { shell, clients, table, version: None, newest: 0, source: None, failing: false };
     loop {
         let pause = follower.round().await;
         if table == Table::Members && follower.version.is_some() {
@@ -93,7 +94,10 @@
     version: Option<u64>,
     /// The newest version that was read. Invariant: never falls.
     newest: u64,
+    /// Who answered last.
     source: Option<Source>,
+    /// Whether a call failed since the last answer.
+    failing: bool,
 }
 
 impl Follower {
@@ -103,7 +107,9 @@
             Ok(source) => source,
             Err(wait) => return wait,
         };
-        self.note_source(source);
+        if source != Source::Store {
+            self.shell.copy(self.table).lose();
+        }
         let read = match source {
             Source::Store => self.read_store().await,
             Source::Peer(address) => match self.read_peer(address).await {
@@ -165,6 +171,10 @@
             return PEER_PAUSE;
         }
         self.clients.note_success(&self.shell, source, changes);
+        self.failing = false;
+        if self.source.replace(source) != Some(source) {
+            log::info!("store: {:?} is read from {}.", self.table, name(source));
+        }
         self.version = Some(changes.version.max(self.newest));
         self.newest = self.newest.max(changes.version);
         let copy = self.shell.copy(self.table);
@@ -197,7 +207,10 @@
                 self.clients.note_refusal(&self.shell, source);
             }
             _ => {
-                log::warn!("store: {:?} from {}: {error}.", self.table, name(source));
+                // Metrics count the failures that follow until the table is read again.
+                if !std::mem::replace(&mut self.failing, true) {
+                    log::warn!("store: {:?} from {}: {error}.", self.table, name(source));
+                }
                 self.clients.note_failure(&self.shell, source);
             }
         }
@@ -206,17 +219,6 @@
         }
         Duration::ZERO
     }
-
-    /// Writes to the log from whom a table is read from now on.
-    fn note_source(&mut self, source: Source) {
-        if self.source != Some(source) {
-            if self.source == Some(Source::Store) {
-                self.shell.copy(self.table).lose();
-            }
-            self.source = Some(source);
-            log::info!("store: {:?} is read from {}.", self.table, name(source));
-        }
-    }
 }
 
 fn name(source: Source) -> String {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -57,9 +57,9 @@
 #[derive(Clone, Debug)]
 struct HeldRow {
     row: Row,
-    /// Hosts that know less than this version have not got the row. Invariant: never below the
+    /// Hosts that know less than this version have not seen the row. Invariant: never below the
     /// row's version.
-    told_from: u64,
+    unseen_below: u64,
 }
 
 /// A copy of a table.
@@ -82,7 +82,7 @@
             self.take_whole(changes);
         } else {
             for row in &changes.rows {
-                let held = HeldRow { told_from: row.version, row: row.clone() };
+                let held = HeldRow { unseen_below: row.version, row: row.clone() };
                 self.rows.insert(row.key.clone(), held);
             }
         }
@@ -102,13 +102,13 @@
             !same && row.version <= self.version
         };
         for row in &changes.rows {
-            let told_from = if hidden(row) { changes.version + 1 } else { row.version };
-            self.rows.insert(row.key.clone(), HeldRow { row: row.clone(), told_from });
+            let unseen_below = if hidden(row) { changes.version + 1 } else { row.version };
+            self.rows.insert(row.key.clone(), HeldRow { row: row.clone(), unseen_below });
         }
         for (key, held) in known {
             if held.row.value.is_some() && !self.rows.contains_key(&key) {
                 let row = Row { key: key.clone(), value: None, version: changes.version };
-                self.rows.insert(key, HeldRow { row, told_from: changes.version + 1 });
+                self.rows.insert(key, HeldRow { row, unseen_below: changes.version + 1 });
             }
         }
         self.base = changes.version;
@@ -165,7 +165,7 @@
 
     /// Returns the rows that a host which knows `after` has not got; none is an answer, too.
     pub fn since(&self, after: u64) -> Changes {
-        let newer = self.rows.values().filter(|held| held.told_from > after);
+        let newer = self.rows.values().filter(|held| held.unseen_below > after);
         let mut rows: Vec<Row> = newer.map(|held| held.row.clone()).collect();
         rows.sort_by_key(|row| row.version);
         Changes { rows, version: self.version.max(after), back_for: None }
