--- a/crates/testbed/src/bin/demo.rs
+++ b/crates/testbed/src/bin/demo.rs
@@ -48,7 +48,7 @@
     let mut phases = Vec::new();
     phases.push(traffic(&fleet, "ordinary traffic", &[1, 2, 3, 4], async {}).await);
     let withdrawn = Cell::new(None);
-    let withdraw = async { withdrawn.set(withdraw(&fleet).await) };
+    let withdraw = async { withdrawn.set(Some(withdraw(&fleet).await)) };
     phases.push(traffic(&fleet, "a key is withdrawn", &[1, 2, 3, 4], withdraw).await);
     let silent = InstanceFault { silent: true, ..InstanceFault::default() };
     fleet.upstream("catalogue").set("catalogue-2", silent);
