fix(testbed): keep the ports of test hosts reserved until they listen

Ruled out: binding port 0 in the host and reporting it. A restarted host must come back on the address that callers, the balancer's stand-in and other hosts know, and the port would be free while it is down. Change: `ReservedAddress` holds a socket that is bound with SO_REUSEADDR and does not listen. The system gives the port to nobody else, and a host can listen on it, again after each restart. Used by the fleet, the tests of the gateway mode and the soak. Before: `free_addresses` and `free_address`, three copies. After: one type; its two tests reserve 300 ports beside 600 other sockets.

--- a/crates/ebonytack/tests/soak/hosts.rs
+++ b/crates/ebonytack/tests/soak/hosts.rs
@@ -1,7 +1,7 @@
 //! The host processes under test, their simulated platform and the proxied links between them.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -11,7 +11,7 @@
     Behaviour, StandInCustomer, StandInInstance, StandInStore, StoreFault,
     configuration_with_customers, is_ready,
 };
-use ebonytack_testbed::{FaultProxy, LinkFault};
+use ebonytack_testbed::{FaultProxy, LinkFault, ReservedAddress};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -32,6 +32,9 @@
     process: Option<Child>,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    /// Keep the ports of callers, readiness checks and peers free, also while the process is not
+    /// running.
+    _reserved: [ReservedAddress; 3],
     settings: PathBuf,
     pub(crate) store_link: FaultProxy,
     log: Arc<Mutex<Vec<String>>>,
@@ -148,7 +151,8 @@
 impl HostSlot {
     fn new(name: &str, store: SocketAddr) -> Self {
         let store_link = FaultProxy::start(store).expect("a proxy starts");
-        let [callers, ready, peers] = free_addresses();
+        let reserved = [(); 3].map(|()| ReservedAddress::new().expect("a port is free"));
+        let [callers, ready, peers] = reserved.each_ref().map(ReservedAddress::get);
         let file = format!("ebonytack-{name}-{}.json", std::process::id());
         let settings = std::env::temp_dir().join(file);
         let text = format!(
@@ -159,7 +163,16 @@
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let log = Arc::default();
-        Self { name: name.to_owned(), process: None, callers, ready, settings, store_link, log }
+        Self {
+            name: name.to_owned(),
+            process: None,
+            callers,
+            ready,
+            _reserved: reserved,
+            settings,
+            store_link,
+            log,
+        }
     }
 
     /// Starts the process and collects its log.
@@ -210,18 +223,3 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 }
-
-/// Returns loopback addresses whose ports are free for both TCP and UDP.
-fn free_addresses() -> [SocketAddr; 3] {
-    let bind = || {
-        loop {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-            let address = listener.local_addr().expect("the socket is bound");
-            if UdpSocket::bind(address).is_ok() {
-                return (listener, address);
-            }
-        }
-    };
-    let bound = [bind(), bind(), bind()];
-    [bound[0].1, bound[1].1, bound[2].1]
-}
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -1,7 +1,7 @@
 //! Tests of the `gateway` mode: host processes with a simulated store and simulated instances.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -10,6 +10,7 @@
 use ebonytack_stand_in::{
     Behaviour, Caller, StandInInstance, StandInStore, StoreFault, configuration, is_ready,
 };
+use ebonytack_testbed::ReservedAddress;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -27,6 +28,8 @@
     process: Child,
     callers: SocketAddr,
     ready: SocketAddr,
+    /// Keep the ports of callers, readiness checks and peers free.
+    _reserved: [ReservedAddress; 3],
     settings: PathBuf,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -59,7 +62,8 @@
 
 impl HostProcess {
     async fn start(name: &str, store: &StandInStore) -> Self {
-        let [callers, ready, peers] = free_addresses();
+        let reserved = [(); 3].map(|()| ReservedAddress::new().expect("a port is free"));
+        let [callers, ready, peers] = reserved.each_ref().map(ReservedAddress::get);
         let settings = std::env::temp_dir()
             .join(format!("ebonytack-gateway-{}-{name}.json", std::process::id()));
         let text = format!(
@@ -83,7 +87,7 @@
                 log_lines.lock().expect("no thread panicked").push(line);
             }
         });
-        let host = Self { process, callers, ready, settings, log };
+        let host = Self { process, callers, ready, _reserved: reserved, settings, log };
         host.wait_until_ready().await;
         host
     }
@@ -134,13 +138,6 @@
     }
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
-    let listeners: Vec<TcpListener> =
-        (0..3).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free")).collect();
-    let address = |index: usize| listeners[index].local_addr().expect("the socket is bound");
-    [address(0), address(1), address(2)]
-}
-
 const FAST: Behaviour = Behaviour::Answer(Duration::from_millis(30));
 
 #[actix_rt::test]
--- a/crates/testbed/src/fleet/process.rs
+++ b/crates/testbed/src/fleet/process.rs
@@ -1,17 +1,16 @@
 //! The process of one host.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 
 use ebonytack_core::HostId;
 use eyre::{Result, WrapErr};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
-const PORT_FIRST: u16 = 10_000;
-const PORT_COUNT: u16 = 20_000;
+use crate::ReservedAddress;
+
 /// The argument that makes a program of the testbed run as a host.
 const HOST_ROLE: &str = "act-as-host";
 
@@ -39,6 +38,8 @@
     pub peer_address: SocketAddr,
     /// The address for operators, readiness checks and metrics.
     pub admin_address: SocketAddr,
+    /// Keep the ports of the three addresses free, also while the process is not running.
+    _reserved: [ReservedAddress; 3],
     settings_path: PathBuf,
     program: PathBuf,
     child: Option<Child>,
@@ -51,11 +52,14 @@
     ///
     /// Fails when no port is free.
     pub fn new(host: HostId, program: &Path, directory: &Path) -> Result<Self> {
+        let [callers, peers, admin] =
+            [ReservedAddress::new()?, ReservedAddress::new()?, ReservedAddress::new()?];
         Ok(Self {
             host,
-            caller_address: free_address()?,
-            peer_address: free_address()?,
-            admin_address: free_address()?,
+            caller_address: callers.get(),
+            peer_address: peers.get(),
+            admin_address: admin.get(),
+            _reserved: [callers, peers, admin],
             settings_path: directory.join(format!("host-{host}.json")),
             program: program.to_owned(),
             child: None,
@@ -169,19 +173,3 @@
         self.kill();
     }
 }
-
-/// Returns a free loopback address. Its port is below the ephemeral range, so that no outgoing
-/// connection takes it before the host binds it.
-fn free_address() -> Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    // Start at a port that depends on the process, so that test processes rarely compete for one.
-    let start = (std::process::id() % 1_000) as u16 * 20;
-    for _ in 0..PORT_COUNT {
-        let offset = (start + NEXT.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORT_FIRST + offset));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(eyre::eyre!("no loopback port is free"))
-}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 mod operator;
 mod platform;
 mod random;
+mod reserved_address;
 mod runtime;
 mod upstream;
 
@@ -17,5 +18,6 @@
 pub use operator::OperatorClient;
 pub use platform::{PlatformFault, PlatformStandIn};
 pub use random::TestRandom;
+pub use reserved_address::ReservedAddress;
 pub use runtime::spawn_system;
 pub use upstream::{InstanceFault, LatencyModel, RecordedRequest, UpstreamStandIn};
--- a/crates/testbed/tests/suite/main.rs
+++ b/crates/testbed/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of fleets of real host processes, with stand-ins for the platform and upstreams
 //! and injected faults.
 
+mod addresses;
 mod configuration;
 mod health;
 mod keys;
