fix(model): give one table for one seed, whatever the process

Cause: a killed host's callers retried in the order of a `HashMap` with a random hasher, so the random numbers drawn after a restart differed between processes. The baselines differed too, so it was the model's map and not only the reducer's. Ruled out: sums over floating point numbers in `crates/gateway`; they run over ordered maps or once per key. The reducer did write customers into reports in the order of a `HashMap`. Change: ordered maps in the model, and in the reducer wherever it iterates. `routes` and `keys` of a configuration are only looked up and stay.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Tracks the members of the fleet and aggregates their reports.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -58,9 +58,9 @@
     as_of: Duration,
     hosts: u32,
     /// Requests in flight and attempt counts of each instance.
-    instances: HashMap<ShortId, (u32, RecentAttemptStats)>,
+    instances: BTreeMap<ShortId, (u32, RecentAttemptStats)>,
     /// Admissions and demand per second of each customer and retry budget.
-    customers: HashMap<ShortId, (u64, f64)>,
+    customers: BTreeMap<ShortId, (u64, f64)>,
 }
 
 /// Totals of an instance over all other live hosts.
@@ -84,9 +84,9 @@
     to_forward: Vec<(DataCentreId, Section, Duration)>,
     /// Admissions of each customer and retry budget in the local data centre, as far as this host
     /// knows of them. Invariant: never decreases.
-    local_admissions: HashMap<ShortId, u64>,
+    local_admissions: BTreeMap<ShortId, u64>,
     /// Attempts by other hosts, over a longer time than their reports cover.
-    long_term_stats: HashMap<ShortId, LongTermAttemptStats>,
+    long_term_stats: BTreeMap<ShortId, LongTermAttemptStats>,
 }
 
 /// Admissions by other hosts that this host has not counted yet, by customer or retry budget.
@@ -125,8 +125,8 @@
             peers: BTreeMap::new(),
             data_centres: BTreeMap::new(),
             to_forward: Vec::new(),
-            local_admissions: HashMap::new(),
-            long_term_stats: HashMap::new(),
+            local_admissions: BTreeMap::new(),
+            long_term_stats: BTreeMap::new(),
         }
     }
 
@@ -363,8 +363,8 @@
     }
 
     /// Returns the totals of each instance over all other live hosts.
-    pub(crate) fn instance_totals(&self, now: Duration) -> HashMap<ShortId, InstanceTotals> {
-        let mut totals: HashMap<ShortId, InstanceTotals> = HashMap::new();
+    pub(crate) fn instance_totals(&self, now: Duration) -> BTreeMap<ShortId, InstanceTotals> {
+        let mut totals: BTreeMap<ShortId, InstanceTotals> = BTreeMap::new();
         let local = self.live_local_peers(now).map(|peer| &peer.section);
         for section in local.chain(self.live_remote_sections(now)) {
             for (id, (in_flight, stats)) in &section.instances {
@@ -412,7 +412,7 @@
 }
 
 fn add_attempts(
-    stats: &mut HashMap<ShortId, LongTermAttemptStats>,
+    stats: &mut BTreeMap<ShortId, LongTermAttemptStats>,
     new_attempts: &[NewAttempts],
     now: Duration,
 ) {
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! The settings of a host and the state that its reducer keeps.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -109,9 +109,9 @@
     pub(super) fleet: Fleet,
     pub(super) instances: BTreeMap<InstanceId, InstanceView>,
     pub(super) services: BTreeMap<ServiceId, ServiceView>,
-    pub(super) customers: HashMap<CustomerId, SharedBucket>,
-    pub(super) requests: HashMap<RequestId, ActiveRequest>,
-    pub(super) attempts: HashMap<AttemptId, RequestId>,
+    pub(super) customers: BTreeMap<CustomerId, SharedBucket>,
+    pub(super) requests: BTreeMap<RequestId, ActiveRequest>,
+    pub(super) attempts: BTreeMap<AttemptId, RequestId>,
     pub(super) next_attempt: AttemptId,
     /// When the store became reachable; zero if it was never lost, `None` while unreachable.
     pub(super) store_reachable_since: Option<Duration>,
@@ -145,9 +145,9 @@
             members_known: false,
             instances: BTreeMap::new(),
             services: BTreeMap::new(),
-            customers: HashMap::new(),
-            requests: HashMap::new(),
-            attempts: HashMap::new(),
+            customers: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             next_attempt: 1,
             store_reachable_since: Some(Duration::ZERO),
             report_sequence: 0,
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -5,7 +5,7 @@
 //! that host. A host that cannot reach the store refuses their reads immediately, and the next
 //! host by name replaces it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,7 +25,7 @@
 const STORE_BACKOFF_WITH_PEERS: Duration = Duration::from_millis(1_500);
 
 /// Where a host reads the store's tables.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Source {
     /// A host of the same data centre, by its peer address.
     Peer(SocketAddr),
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct SourceSelector {
     random: Random,
-    backoff_until: HashMap<Source, Duration>,
+    backoff_until: BTreeMap<Source, Duration>,
     /// Whether this host's last call to the store failed.
     store_unreachable: bool,
 }
@@ -54,7 +54,7 @@
 impl SourceSelector {
     /// Creates a selector without any backoff; `random` spreads the backoffs.
     pub fn new(random: Random) -> Self {
-        Self { random, backoff_until: HashMap::new(), store_unreachable: false }
+        Self { random, backoff_until: BTreeMap::new(), store_unreachable: false }
     }
 
     /// Returns the source to read from now, or how long to wait until one is available.
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 /// Identifies an attempt across all hosts and restarts.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct AttemptId {
     /// Index of the host that sent the attempt.
     pub(crate) host: usize,
--- a/crates/model/src/world/hosts.rs
+++ b/crates/model/src/world/hosts.rs
@@ -1,6 +1,6 @@
 //! Hosts: their reducers, restarts and effects.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -53,9 +53,9 @@
             process,
             up: true,
             next_request: 1,
-            requests: HashMap::new(),
-            attempts: HashMap::new(),
-            attempts_sent: HashMap::new(),
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            attempts_sent: BTreeMap::new(),
         }
     }
 
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -6,7 +6,7 @@
 mod names;
 mod state;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ebonytack_core::Random;
@@ -46,8 +46,8 @@
             hosts: Vec::new(),
             instances: (0..instances).map(|_| SimulatedInstance::default()).collect(),
             calls: Vec::new(),
-            attempt_calls: HashMap::new(),
-            failing_attempts: HashSet::new(),
+            attempt_calls: BTreeMap::new(),
+            failing_attempts: BTreeSet::new(),
             retries: Vec::new(),
             first_sends: Vec::new(),
             hot_runs: Vec::new(),
--- a/crates/model/src/world/state.rs
+++ b/crates/model/src/world/state.rs
@@ -1,6 +1,6 @@
 //! State of a run, and the constants of the simulation.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ebonytack_core::Random;
@@ -113,11 +113,11 @@
     pub(super) up: bool,
     pub(super) next_request: u64,
     /// Call and number of the try, by the host's number for the request.
-    pub(super) requests: HashMap<u64, (usize, u32)>,
+    pub(super) requests: BTreeMap<u64, (usize, u32)>,
     /// Instance and start time of each attempt in flight.
-    pub(super) attempts: HashMap<u64, (usize, Duration)>,
+    pub(super) attempts: BTreeMap<u64, (usize, Duration)>,
     /// Number of attempts sent, by request.
-    pub(super) attempts_sent: HashMap<u64, u32>,
+    pub(super) attempts_sent: BTreeMap<u64, u32>,
 }
 
 pub(super) struct World {
@@ -130,9 +130,9 @@
     pub(super) instances: Vec<SimulatedInstance>,
     pub(super) calls: Vec<Call>,
     /// Call and number of the try, by attempt.
-    pub(super) attempt_calls: HashMap<(usize, u64, u64), (usize, u32)>,
+    pub(super) attempt_calls: BTreeMap<(usize, u64, u64), (usize, u32)>,
     /// Attempts that end with a fast error.
-    pub(super) failing_attempts: HashSet<(usize, u64, u64)>,
+    pub(super) failing_attempts: BTreeSet<(usize, u64, u64)>,
     /// Times at which retries, the attempts after a request's first one, arrive at instances.
     pub(super) retries: Vec<Duration>,
     /// Times at which first attempts of requests arrive at instances.
--- a/crates/model/tests/suite/main.rs
+++ b/crates/model/tests/suite/main.rs
@@ -1,5 +1,7 @@
 //! Simulates load patterns over several seeds and checks the guarantees to callers.
 
+use std::process::Command;
+
 use ebonytack_model::{Outcome, Pattern, Policy, run};
 
 const SEEDS: std::ops::RangeInclusive<u64> = 101..=108;
@@ -103,3 +105,19 @@
     let run_once = || run(&pattern("half-mute"), Policy::Product, 9);
     assert_eq!(format!("{:?}", run_once()), format!("{:?}", run_once()));
 }
+
+/// All hosts restart here, so the requests in flight are dropped in the order of a map.
+#[test]
+fn separate_processes_print_the_same_table() {
+    let table = || {
+        let experiment = env!("CARGO_BIN_EXE_experiment");
+        let output = Command::new(experiment).args(["hot-restart", "--seeds", "4"]).output();
+        let output = output.expect("the experiment runs");
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).expect("the table is text")
+    };
+    let first = table();
+    for _ in 0..3 {
+        assert_eq!(table(), first);
+    }
+}
