fix(gateway): exchange counts only with hosts of the own group

Cause: while the hosts of a fleet start, they know different members and divide a data centre differently. A host that received counts of a host outside its group kept it as a peer, passed counts on to it and was taken by it for its representative, so that both went on for as long as they ran. The link of a representative: 0.98 MB/s of 2.5. Change: relays, representatives and destinations are hosts of the own group; counts of others are added where they arrive. Only a representative queues counts of other hosts. Unchanged counts are sent again by time and not by report, and totals of other data centres list instances in every second report. Before: `hosts_that_learn_of_each_other_one_by_one_agree_in_the_end` fails, with 99 to 142 hosts heard of 120. After: 120 on each. Reports per second to a host in `reports_to_a_host_do_not_grow_with_ the_fleet`: 26 at 45 hosts, 30 at 440 (35 and 41 before). A representative of 440 hosts sends 0.86 MB/s (0.98 before).

--- a/crates/gateway/src/fleet/counts.rs
+++ b/crates/gateway/src/fleet/counts.rs
@@ -15,10 +15,12 @@
 
 use super::REPORT_LIFETIME;
 
-/// Number of sections after which each unchanged count was sent again.
+/// Number of parts into which the unchanged counts are divided.
 const SLICES: u32 = 8;
-/// Time within which a source sends each of its counts again: `SLICES` reports at the interval of
-/// an idle host.
+/// Time after which the next slice of the unchanged counts is sent again.
+const SLICE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time within which a source sends each of its counts again: `SLICES` times the interval, and one
+/// interval of an idle host's reports.
 const REFRESH_TIME: Duration = Duration::from_millis(2_000);
 /// Time after which a count that its source no longer sends is dropped.
 pub(super) const COUNT_LIFETIME: Duration = Duration::from_millis(3_000);
@@ -66,34 +68,77 @@
     pub(crate) customers: BTreeMap<ShortId, CustomerCounts>,
 }
 
+/// Which counts of one kind a section lists.
+#[derive(Clone, Copy, Debug)]
+enum Selection {
+    /// None.
+    Nothing,
+    /// All of them, since the audience has none yet.
+    All,
+    /// Those that changed at this time or later, and a slice of the others.
+    Changed { since: Duration, slice: Option<u32> },
+}
+
 /// Which counts a section lists.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Selection {
-    /// Counts that changed at this time or later are listed; `None` lists all counts.
-    changed_since: Option<Duration>,
-    /// The slice of the unchanged counts that is listed too.
-    slice: u32,
+pub(crate) struct SectionSelection {
+    instances: Selection,
+    customers: Selection,
 }
 
-/// When the last section was sent to an audience, and which slice of the unchanged counts is next.
+/// When counts of one kind were last sent to an audience.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct SendState {
+struct SendState {
     sent_at: Option<Duration>,
     slice: u32,
+    slice_sent_at: Duration,
+}
+
+/// When the counts of a section were last sent to an audience.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SectionSendState {
+    instances: SendState,
+    customers: SendState,
 }
 
 impl SendState {
     /// Returns which counts the next section lists, and records that it is sent.
-    pub(crate) fn next(&mut self, now: Duration) -> Selection {
-        self.slice = (self.slice + 1) % SLICES;
-        Selection { changed_since: self.sent_at.replace(now), slice: self.slice }
+    fn next(&mut self, now: Duration) -> Selection {
+        let Some(since) = self.sent_at.replace(now) else {
+            self.slice_sent_at = now;
+            return Selection::All;
+        };
+        let is_due = now >= self.slice_sent_at + SLICE_INTERVAL;
+        if is_due {
+            self.slice = (self.slice + 1) % SLICES;
+            self.slice_sent_at = now;
+        }
+        Selection::Changed { since, slice: is_due.then_some(self.slice) }
+    }
+}
+
+impl SectionSendState {
+    /// Returns which counts the next section lists, and records that it is sent.
+    pub(crate) fn next(&mut self, now: Duration) -> SectionSelection {
+        let (instances, customers) = (self.instances.next(now), self.customers.next(now));
+        SectionSelection { instances, customers }
+    }
+
+    /// Returns which counts the next section lists if it lists those of customers only.
+    pub(crate) fn next_customers(&mut self, now: Duration) -> SectionSelection {
+        SectionSelection { instances: Selection::Nothing, customers: self.customers.next(now) }
     }
 }
 
 impl Selection {
     fn includes(&self, id: ShortId, changed_at: Duration, is_significant: bool) -> bool {
-        self.changed_since.is_none_or(|since| changed_at >= since)
-            || (is_significant && id % SLICES == self.slice)
+        match self {
+            Self::Nothing => false,
+            Self::All => true,
+            Self::Changed { since, slice } => {
+                changed_at >= *since || (is_significant && *slice == Some(id % SLICES))
+            }
+        }
     }
 }
 
@@ -143,9 +188,14 @@
     }
 
     /// Returns the selected counts as a section; `header` has the other fields of the section.
-    pub(crate) fn section(&self, selection: Selection, header: Section, now: Duration) -> Section {
+    pub(crate) fn section(
+        &self,
+        selection: SectionSelection,
+        header: Section,
+        now: Duration,
+    ) -> Section {
         let instances = self.instances.iter().filter(|(id, counts)| {
-            selection.includes(**id, counts.changed_at, counts.is_significant(now))
+            selection.instances.includes(**id, counts.changed_at, counts.is_significant(now))
         });
         let instances = instances.map(|(id, counts)| {
             let stats = counts.stats.at(now);
@@ -158,7 +208,7 @@
         });
         let customers = self.customers.iter().filter(|(id, counts)| {
             let is_significant = counts.admitted > 0 || counts.demand_at(now) > DEMAND_MIN;
-            selection.includes(**id, counts.changed_at, is_significant)
+            selection.customers.includes(**id, counts.changed_at, is_significant)
         });
         let customers = customers.map(|(id, counts)| CustomerReport {
             id: *id,
@@ -166,7 +216,7 @@
             demand_per_second: counts.demand_at(now) as f32,
         });
         Section {
-            complete: selection.changed_since.is_none(),
+            complete: matches!(selection.instances, Selection::All),
             instances: instances.collect(),
             customers: customers.collect(),
             ..header
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 use crate::report::{Scope, ShortId};
 use crate::{Report, Section};
 
-use counts::{COUNT_LIFETIME, NewAttempts, ReceivedCounts, SectionDelta, SendState};
+use counts::{COUNT_LIFETIME, NewAttempts, ReceivedCounts, SectionDelta, SectionSendState};
 pub(crate) use counts::{Counts, CustomerCounts, InstanceCounts, NewAdmissions};
 use groups::Groups;
 pub(crate) use outgoing::SectionSource;
@@ -92,10 +92,10 @@
     /// Instances of which counts of this data centre were dropped, and when.
     departed: BTreeMap<ShortId, Duration>,
     /// Sections that were sent to the group, and to the other groups.
-    sent_to_group: BTreeMap<Scope, SendState>,
-    sent_to_groups: BTreeMap<Scope, SendState>,
-    sent_own: SendState,
-    sent_totals: BTreeMap<Scope, SendState>,
+    sent_to_group: BTreeMap<Scope, SectionSendState>,
+    sent_to_groups: BTreeMap<Scope, SectionSendState>,
+    sent_own: SectionSendState,
+    sent_totals: BTreeMap<Scope, SectionSendState>,
     /// The host through which this one exchanges counts with its group, while it is heard.
     relay: Option<Relay>,
     /// Scopes with sections that are to be passed on to the group.
@@ -140,7 +140,7 @@
             departed: BTreeMap::new(),
             sent_to_group: BTreeMap::new(),
             sent_to_groups: BTreeMap::new(),
-            sent_own: SendState::default(),
+            sent_own: SectionSendState::default(),
             sent_totals: BTreeMap::new(),
             relay: None,
             for_group: Vec::new(),
@@ -181,7 +181,9 @@
             count_admissions(&mut self.data_centre_admissions, &delta.admissions);
             add_attempts(&mut self.long_term_stats, &delta.attempts, now);
             report_delta.add(delta);
-            self.pass_on_to_group(Scope::Host(report.from.clone()));
+            if self.is_group_representative(now) {
+                self.pass_on_to_group(Scope::Host(report.from.clone()));
+            }
         }
         for (scope, section) in &report.totals {
             self.on_totals(&report, scope, section, has_own_counts, &mut report_delta, now);
@@ -236,6 +238,10 @@
         report_delta: &mut ReportDelta,
         now: Duration,
     ) {
+        // Until all hosts have read the same members, some consider this one to be in their group.
+        if !self.is_in_group(&report.from) {
+            return;
+        }
         if self.relay.as_ref().is_none_or(|relay| relay.is_replaced_by(&report.from, now)) {
             self.relay = Some(Relay { name: report.from.clone(), heard_at: now });
         }
--- a/crates/gateway/src/fleet/outgoing.rs
+++ b/crates/gateway/src/fleet/outgoing.rs
@@ -6,7 +6,7 @@
 use crate::report::Scope;
 
 use super::Fleet;
-use super::counts::{Counts, ReceivedCounts, SendState};
+use super::counts::{Counts, ReceivedCounts, SectionSendState};
 
 /// The fields that all sections of this host have in common.
 #[derive(Clone, Copy, Debug)]
@@ -41,14 +41,19 @@
             counts.admitted = self.group_admissions.get(id).copied().unwrap_or(0);
         }
         let scope = Scope::Group(self.own_group());
-        (scope.clone(), self.totals_section(scope, &counts, hosts, source, now))
+        let selection = self.sent_totals.entry(scope.clone()).or_default().next(now);
+        (scope, counts.section(selection, self.header(source, hosts), now))
     }
 
     /// Returns the totals of this host's data centre, for the other data centres.
+    ///
+    /// Without `with_instances` they list customers only: rates must hold across data centres at
+    /// any time, while hosts rarely need the load of instances in another one.
     pub(crate) fn data_centre_totals(
         &mut self,
         own: &Counts,
         source: SectionSource,
+        with_instances: bool,
         now: Duration,
     ) -> (Scope, Section) {
         let (mut hosts, mut counts) = self.sum_group(own, now);
@@ -62,15 +67,15 @@
             counts.admitted = self.data_centre_admissions.get(id).copied().unwrap_or(0);
         }
         let scope = Scope::DataCentre(self.data_centre.clone());
-        (scope.clone(), self.totals_section(scope, &counts, hosts, source, now))
+        let state = self.sent_totals.entry(scope.clone()).or_default();
+        let selection = if with_instances { state.next(now) } else { state.next_customers(now) };
+        (scope, counts.section(selection, self.header(source, hosts), now))
     }
 
     /// Removes and returns the sections of other groups and data centres that wait to be passed on
     /// to this host's group.
     pub(crate) fn take_sections_for_group(&mut self, now: Duration) -> Vec<(Scope, Section)> {
-        let is_representative = self.is_group_representative(now);
-        let mut scopes = std::mem::take(&mut self.for_group);
-        scopes.retain(|scope| is_representative || !matches!(scope, Scope::Host(_)));
+        let scopes = std::mem::take(&mut self.for_group);
         self.forward(scopes, Fleet::group_send_state, now)
     }
 
@@ -86,18 +91,18 @@
         !self.for_group.is_empty()
     }
 
-    fn group_send_state(&mut self, scope: Scope) -> &mut SendState {
+    fn group_send_state(&mut self, scope: Scope) -> &mut SectionSendState {
         self.sent_to_group.entry(scope).or_default()
     }
 
-    fn groups_send_state(&mut self, scope: Scope) -> &mut SendState {
+    fn groups_send_state(&mut self, scope: Scope) -> &mut SectionSendState {
         self.sent_to_groups.entry(scope).or_default()
     }
 
     fn forward(
         &mut self,
         scopes: Vec<Scope>,
-        send_state: fn(&mut Self, Scope) -> &mut SendState,
+        send_state: fn(&mut Self, Scope) -> &mut SectionSendState,
         now: Duration,
     ) -> Vec<(Scope, Section)> {
         let mut sections = Vec::new();
@@ -115,19 +120,6 @@
         sections
     }
 
-    fn totals_section(
-        &mut self,
-        scope: Scope,
-        counts: &Counts,
-        hosts: u32,
-        source: SectionSource,
-        now: Duration,
-    ) -> Section {
-        let header = self.header(source, hosts);
-        let selection = self.sent_totals.entry(scope).or_default().next(now);
-        counts.section(selection, header, now)
-    }
-
     /// Returns the number of live hosts of the group and the sum of their counts.
     fn sum_group(&mut self, own: &Counts, now: Duration) -> (u32, Counts) {
         self.expire(now);
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Returns whether a host of this data centre belongs to the same group. Until it registers, a
+    /// host belongs to the first one.
+    pub(super) fn is_in_group(&self, name: &str) -> bool {
+        self.groups.of(name) == self.own_group()
+    }
+
     pub(super) fn own_group(&self) -> GroupIndex {
         self.groups.of(&self.name)
     }
@@ -166,7 +172,7 @@
     /// groups. The representative is the first live host by name.
     pub(crate) fn is_group_representative(&self, now: Duration) -> bool {
         let mut preceding = self.group_peers.range(..self.name.clone());
-        !preceding.any(|(_, peer)| peer.own.is_recent(now))
+        !preceding.any(|(name, peer)| peer.own.is_recent(now) && self.is_in_group(name))
     }
 
     /// Returns whether this host represents its data centre, that is, exchanges totals with other
@@ -220,10 +226,15 @@
     /// that passes them on or none is heard.
     pub(crate) fn group_addresses(&self, now: Duration) -> Vec<SocketAddr> {
         let relay = self.relay.as_ref().filter(|relay| relay.is_live(now));
+        let relay = relay.filter(|relay| self.is_in_group(&relay.name));
         let relay = relay.filter(|_| !self.is_group_representative(now));
         match relay.and_then(|relay| self.group_peers.get(&relay.name)) {
             Some(peer) => vec![peer.address],
-            None => self.group_peers.values().map(|peer| peer.address).collect(),
+            None => {
+                let peers = self.group_peers.iter();
+                let in_group = peers.filter(|(name, _)| self.is_in_group(name));
+                in_group.map(|(_, peer)| peer.address).collect()
+            }
         }
     }
 
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -21,12 +21,14 @@
 /// Maximum time between two reports to the group, well below `REPORT_LIFETIME`.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reports to the other groups of the data centre.
-const GROUP_TOTALS_INTERVAL: Duration = Duration::from_millis(50);
+const GROUP_TOTALS_INTERVAL: Duration = Duration::from_millis(75);
 /// Minimum time between two reports that pass on new failures, between groups and from the
 /// representative to its group.
 const FORWARD_URGENT_INTERVAL: Duration = Duration::from_millis(35);
 /// Time between two reports to other data centres.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of reports to other data centres of which one lists the counts of instances.
+const REMOTE_INSTANCES_PERIOD: usize = 2;
 /// Minimum time between two reports to other data centres when there are new failures.
 const REMOTE_URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -165,6 +167,8 @@
         if self.remote_reported_at.is_some_and(|last| self.now < last + interval) {
             return;
         }
+        let with_instances = self.remote_report_urgent
+            || self.remote_rotation.is_multiple_of(REMOTE_INSTANCES_PERIOD);
         self.remote_report_urgent = false;
         self.remote_reported_at = Some(self.now);
         self.timers.arm(self.now + REMOTE_INTERVAL, TimerEvent::RemoteReport);
@@ -177,7 +181,8 @@
             return;
         }
         let own = self.own_counts();
-        let totals = self.fleet.data_centre_totals(&own, self.section_source(), self.now);
+        let source = self.section_source();
+        let totals = self.fleet.data_centre_totals(&own, source, with_instances, self.now);
         self.send_report(to, Section::default(), vec![totals]);
     }
 
--- a/crates/gateway/tests/suite/groups.rs
+++ b/crates/gateway/tests/suite/groups.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ebonytack_core::Random;
-use ebonytack_gateway::{Effect, Event, Gateway, Member, Record, Report};
+use ebonytack_gateway::{Customer, Effect, Event, Gateway, Member, Record, Report};
 use quickcheck::{QuickCheck, TestResult};
 
 use crate::support::{configuration, instance, response, settings};
@@ -39,6 +39,10 @@
     in_transit: Vec<(Duration, usize, Report)>,
     by_address: BTreeMap<SocketAddr, usize>,
     received: Vec<u32>,
+    /// Bytes of the reports that each host has sent, about as they are encoded.
+    sent_bytes: Vec<usize>,
+    /// The keys that requests use by turns.
+    keys: Vec<String>,
     records: Vec<Vec<Record>>,
     next_request: u64,
 }
@@ -70,6 +74,8 @@
             in_transit: Vec::new(),
             by_address: members.iter().enumerate().map(|(i, m)| (m.address, i)).collect(),
             received: vec![0; members.len()],
+            sent_bytes: vec![0; members.len()],
+            keys: vec![KEY.to_owned()],
             records: vec![Vec::new(); members.len()],
             next_request: 1,
         };
@@ -86,6 +92,7 @@
         for effect in &effects {
             match effect {
                 Effect::Report { to, report } => {
+                    self.sent_bytes[host] += to.len() * encoded_bytes(report);
                     to.iter().for_each(|address| self.transmit(*address, report));
                 }
                 Effect::Record(record) => self.records[host].push(record.clone()),
@@ -136,7 +143,7 @@
             caller_request_id: format!("caller-{request}"),
             host: crate::support::HOST.to_owned(),
             path: path.to_owned(),
-            key: Some(KEY.to_owned()),
+            key: self.keys.get(request as usize % self.keys.len()).cloned(),
             timeout: Some(Duration::from_secs(60)),
         };
         let effects = self.step(host, Event::Request { request, incoming });
@@ -162,6 +169,17 @@
     }
 }
 
+/// Returns about how long an encoded report is.
+fn encoded_bytes(report: &Report) -> usize {
+    const REPORT_BYTES: usize = 110;
+    const SECTION_BYTES: usize = 45;
+    const COUNT_BYTES: usize = 11;
+    let sections = std::iter::once(&report.own).chain(report.totals.iter().map(|(_, s)| s));
+    let section_bytes =
+        sections.map(|s| SECTION_BYTES + COUNT_BYTES * (s.instances.len() + s.customers.len()));
+    REPORT_BYTES + section_bytes.sum::<usize>()
+}
+
 #[test]
 fn every_host_hears_of_all_others() {
     let mut cluster = Cluster::new(3, 50, 2, 1);
@@ -171,6 +189,42 @@
     }
 }
 
+/// Load pattern: all hosts start together and register one after the other, so that for a while they
+/// divide the data centre differently.
+#[test]
+fn hosts_that_learn_of_each_other_one_by_one_agree_in_the_end() {
+    for seed in 1..=3 {
+        let mut cluster = Cluster::new(2, 60, 1, seed);
+        let members: Vec<Member> = cluster.hosts.iter().map(|(m, _)| m.clone()).collect();
+        for (host, member) in members.iter().enumerate() {
+            cluster.step(host, Event::AllMembers(vec![member.clone()]));
+        }
+        let mut known = vec![Vec::new(); 120];
+        for (host, known) in known.iter_mut().enumerate() {
+            *known = (0..120).filter(|other| *other != host).collect::<Vec<usize>>();
+        }
+        while known.iter().any(|list| !list.is_empty()) {
+            for (host, left) in known.iter_mut().enumerate() {
+                for _ in 0..4 {
+                    if !left.is_empty() {
+                        let at = (cluster.random.next_f64() * left.len() as f64) as usize;
+                        let member = members[left.swap_remove(at)].clone();
+                        cluster.step(host, Event::Member(member));
+                    }
+                }
+            }
+            cluster.advance(Duration::from_millis(50));
+        }
+        cluster.advance(Duration::from_secs(3));
+        let heard: Vec<u32> = (0..120).map(|host| cluster.heard(host)).collect();
+        assert!(heard.iter().all(|heard| *heard == 120), "seed {seed}: {heard:?}");
+        cluster.received.fill(0);
+        cluster.advance(Duration::from_secs(1));
+        let most = cluster.received.iter().max().copied().unwrap_or(0);
+        assert!(most <= 200, "seed {seed}: a host receives {most} reports per second");
+    }
+}
+
 #[test]
 fn load_on_any_host_is_seen_by_all_others() {
     let mut cluster = Cluster::new(2, 50, 1, 2);
@@ -233,6 +287,39 @@
     assert!(large <= small * 1.2, "{small:.0} per second at 45 hosts, {large:.0} at 440");
 }
 
+/// Load pattern: 440 hosts with a link of 20 Mbit/s, 250 instances, 190 customers, and 3.8 requests
+/// per second to each host. The representatives' reports must leave most of the link to requests.
+#[test]
+fn reports_of_a_representative_leave_most_of_its_link_to_requests() {
+    const LINK_BYTES_PER_S: f64 = 20e6 / 8.0;
+    let mut cluster = Cluster::new(5, 88, 250, 7);
+    let mut with_customers = configuration(2);
+    cluster.keys = (0..190).map(|customer| format!("key-{customer}")).collect();
+    for key in &cluster.keys {
+        let customer = Customer { priority: None, rate_per_second: Some(50.0), burst: 50.0 };
+        with_customers.add_customer(format!("of-{key}"), customer, vec![key.clone()]);
+    }
+    for host in 0..cluster.hosts.len() {
+        cluster.step(host, Event::Configuration(Box::new(with_customers.clone())));
+    }
+    cluster.advance(SETTLED);
+    cluster.sent_bytes.fill(0);
+    let mut open = Vec::new();
+    for round in 0..40usize {
+        for host in (0..cluster.hosts.len()).filter(|host| (host + round).is_multiple_of(5)) {
+            let (attempt, _, _) = cluster.request(host, "/order/1");
+            open.push((host, attempt));
+        }
+        let finished = open.len().saturating_sub(cluster.hosts.len());
+        for (host, attempt) in open.drain(..finished).collect::<Vec<_>>() {
+            cluster.step(host, Event::Attempt { attempt, result: response(200, true) });
+        }
+        cluster.advance(Duration::from_millis(50));
+    }
+    let most = cluster.sent_bytes.iter().max().copied().unwrap_or(0) as f64 / 2.0;
+    assert!(most <= LINK_BYTES_PER_S * 0.4, "{most:.0} bytes per second");
+}
+
 #[test]
 fn lost_representative_is_replaced_and_its_load_is_forgotten() {
     let mut cluster = Cluster::new(1, 40, 1, 5);
