fix(http): take no late copy for the next response, and end responses without end

Cause: a response without the echoed request id was accepted as the one to the request in progress, also on a connection that an earlier request had used. A server that sends a second, unlabelled copy of its response when the next request arrives had it delivered to that caller. Bytes that add neither a head nor a body were not limited: the extension of a chunk and interim responses could go on at full speed until the caller's deadline. Ruled out: copies that arrive while the connection is idle or with another id; the connection is dropped, or the copy skipped. Heads, header lines, bodies without length, chunks and responses to other requests; each had a limit. Change: without an id a response counts only as the first one on a new connection; elsewhere the exchange fails as sent, so that an order is not repeated. At most 256 KiB may arrive without a byte of a body. Before: `late_copy_of_response_never_reaches_next_request` fails ("first" in place of "second"), and `endless_head_or_body_fails_at_its_limit` ("a chunk extension: ends by itself"). After: both pass.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -34,6 +34,8 @@
     idle_since: Instant,
     /// The `Keep-Alive` timeout that the peer announced.
     idle_limit: Option<Duration>,
+    /// Whether an exchange ended on the connection, so that bytes of it may still arrive.
+    pub(crate) is_used: bool,
 }
 
 impl Connection {
@@ -59,11 +61,11 @@
         socket.set_tcp_keepalive(&keep_alive).map_err(|_| connect_error)?;
         socket.set_tcp_user_timeout(Some(settings.user_timeout)).map_err(|_| connect_error)?;
         stream.set_nodelay(true).map_err(|_| connect_error)?;
-        Ok(Self::idle(stream, None))
+        Ok(Self { stream, idle_since: Instant::now(), idle_limit: None, is_used: false })
     }
 
     pub(crate) fn idle(stream: TcpStream, idle_limit: Option<Duration>) -> Self {
-        Self { stream, idle_since: Instant::now(), idle_limit }
+        Self { stream, idle_since: Instant::now(), idle_limit, is_used: true }
     }
 
     /// Returns the time since the connection was opened or its last exchange ended.
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -18,6 +18,9 @@
 /// How many responses to other requests are skipped before the exchange fails.
 const MISMATCHED_RESPONSES_MAX: u32 = 4;
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// How many bytes without any byte of a body may be received one after the other: heads, interim
+/// responses and the framing of chunks.
+const OVERHEAD_MAX_BYTES: usize = 256 * 1024;
 
 /// An HTTP/1.1 request whose complete body is in memory.
 #[derive(Clone, Debug)]
@@ -36,7 +39,9 @@
 #[derive(Clone, Debug)]
 pub struct Exchange {
     /// A header that the peer copies from the request, and the value that was sent. A response with
-    /// another value belongs to another request and is skipped; one without the header is accepted.
+    /// another value belongs to another request and is skipped. One without the header is accepted
+    /// as the first response on a new connection only, since elsewhere it may be a late copy of the
+    /// response to an earlier request.
     pub echo: Option<(HeaderName, String)>,
     /// The size limit of the response body; a larger one fails with
     /// [`ExchangeErrorKind::TooLarge`].
@@ -60,6 +65,7 @@
         let (mut reader, mut writer) = connection.stream.split();
         let mut request_writer = RequestWriter { bytes: &bytes, written: 0, failed: false };
         let mut response_reader = ResponseReader::new(codec, request.method == Method::HEAD);
+        response_reader.may_be_copy = connection.is_used;
         let outcome = loop {
             tokio::select! {
                 response = response_reader.read_response(&mut reader, self) => break response,
@@ -129,6 +135,10 @@
     body: BytesMut,
     /// How many responses to other requests were skipped.
     mismatched: u32,
+    /// Whether the next response may be a copy of the response to an earlier request.
+    may_be_copy: bool,
+    /// How many bytes were received since the last byte of a body.
+    overhead_bytes: usize,
     /// Whether the request was `HEAD`: such a response has no body, whatever its headers say.
     is_head_request: bool,
 }
@@ -136,7 +146,16 @@
 impl ResponseReader {
     fn new(codec: ClientCodec, is_head_request: bool) -> Self {
         let (buffer, body) = (BytesMut::new(), BytesMut::new());
-        Self { codec: Some(codec), buffer, head: None, body, mismatched: 0, is_head_request }
+        Self {
+            codec: Some(codec),
+            buffer,
+            head: None,
+            body,
+            mismatched: 0,
+            may_be_copy: false,
+            overhead_bytes: 0,
+            is_head_request,
+        }
     }
 
     /// Reads until the response to this exchange is complete; returns it and whether the connection
@@ -153,9 +172,10 @@
                 if response.status.is_informational() {
                     continue;
                 }
-                if matches_echo(&response, exchange) {
+                if self.is_expected(&response, exchange)? {
                     return Ok((response, keep_open));
                 }
+                self.may_be_copy = true;
                 self.mismatched += 1;
                 if !keep_open || self.mismatched > MISMATCHED_RESPONSES_MAX {
                     return Err(ExchangeError::sent(ExchangeErrorKind::Malformed));
@@ -164,9 +184,26 @@
             self.buffer.reserve(READ_CHUNK_BYTES);
             match reader.read_buf(&mut self.buffer).await {
                 Ok(0) => return self.on_eof(exchange),
-                Ok(_) => {}
+                Ok(count) => self.overhead_bytes += count,
                 Err(_) => return Err(ExchangeError::sent(ExchangeErrorKind::Broken)),
             }
+            if self.overhead_bytes > OVERHEAD_MAX_BYTES {
+                return Err(ExchangeError::sent(ExchangeErrorKind::TooLarge));
+            }
+        }
+    }
+
+    /// Returns whether a response is the one to this exchange, or fails if that is unknown.
+    fn is_expected(
+        &self,
+        response: &IncomingResponse,
+        exchange: &Exchange,
+    ) -> Result<bool, ExchangeError> {
+        let Some((name, value)) = &exchange.echo else { return Ok(true) };
+        match response.headers.get(name) {
+            Some(found) => Ok(found.as_bytes() == value.as_bytes()),
+            None if self.may_be_copy => Err(ExchangeError::sent(ExchangeErrorKind::Malformed)),
+            None => Ok(true),
         }
     }
 
@@ -174,7 +211,7 @@
     /// reset. Any other incomplete response fails with [`ExchangeErrorKind::Broken`].
     fn on_eof(&mut self, exchange: &Exchange) -> Result<(IncomingResponse, bool), ExchangeError> {
         match self.take_response(true, exchange.body_max_bytes)? {
-            Some((response, _)) if matches_echo(&response, exchange) => Ok((response, false)),
+            Some((response, _)) if self.is_expected(&response, exchange)? => Ok((response, false)),
             _ => Err(ExchangeError::sent(ExchangeErrorKind::Broken)),
         }
     }
@@ -195,6 +232,7 @@
             self.codec = Some(codec);
             return Ok(None);
         };
+        let body_bytes = self.body.len();
         let close_delimited = !self.is_head_request && is_close_delimited(head);
         let mut complete = false;
         if close_delimited {
@@ -218,6 +256,9 @@
             codec = payload.into_message_codec();
             self.codec = Some(codec);
         }
+        if self.body.len() > body_bytes {
+            self.overhead_bytes = 0;
+        }
         if self.body.len() > body_max_bytes {
             return Err(ExchangeError::sent(ExchangeErrorKind::TooLarge));
         }
@@ -232,15 +273,6 @@
     }
 }
 
-fn matches_echo(response: &IncomingResponse, exchange: &Exchange) -> bool {
-    match &exchange.echo {
-        Some((name, value)) => {
-            response.headers.get(name).is_none_or(|found| found.as_bytes() == value.as_bytes())
-        }
-        None => true,
-    }
-}
-
 /// Returns whether the end of the connection ends the body (RFC 9112, section 6.3, rule 8).
 fn is_close_delimited(head: &ResponseHead) -> bool {
     let bodiless = head.status.is_informational()
--- a/crates/http/tests/suite/main.rs
+++ b/crates/http/tests/suite/main.rs
@@ -1,5 +1,7 @@
 //! Exchanges against a peer that sends fixed bytes.
 
+mod endless;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -123,6 +125,51 @@
     assert!(!connection.is_reusable());
 }
 
+/// Starts a peer that responds to the first request, and to the second one with a late copy of that
+/// response before the response proper.
+async fn start_repeating_peer(copy: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("the client connects");
+        let first = "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nfirst";
+        let second = "HTTP/1.1 200 OK\r\nx-id: next\r\ncontent-length: 6\r\n\r\nsecond";
+        for response in [first.to_owned(), format!("{copy}{second}")] {
+            let count = stream.read(&mut [0; 4_096]).await.expect("a request is read");
+            assert!(count > 0);
+            stream.write_all(response.as_bytes()).await.expect("the response is written");
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn late_copy_of_response_never_reaches_next_request() {
+    let copies = [
+        "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\nx-id: another\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 500 Failed\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nfirst",
+        "first",
+    ];
+    for copy in copies {
+        let (response, connection) =
+            run(start_repeating_peer(copy).await, None).await.expect("a response");
+        assert_eq!(&response.body[..], b"first");
+        let connection = connection.expect("the connection is reusable");
+        let exchange = Exchange { echo: Some((ID, "next".to_owned())), body_max_bytes: 1_000 };
+        let request = request(None);
+        let second = exchange.run(connection, &request);
+        match tokio::time::timeout(Duration::from_millis(500), second).await {
+            Ok(Ok((response, _))) => assert_eq!(&response.body[..], b"second", "{copy}"),
+            Ok(Err(error)) => assert!(error.sent, "{copy}: the request may have run"),
+            Err(_) => {}
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn close_delimited_response_needs_orderly_close() {
     let response = "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nall of it";
