fix(gateway): try an instance again by the time since its last attempt

Ruled out: lapsed entries and each host's own view; the store was stable, and the attempts of the whole fleet are in the counts that held the instances back. Change: 600 ms without an attempt, by this host or heard of from others, also make an idle instance one to be tried by a retryable request; the rate of such tries stays. Before: `instance_with_many_failures_is_tried_again_soon_after_them` fails (not tried for 3 s). After: it passes.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -108,6 +108,8 @@
     data_centre_admissions: BTreeMap<ShortId, u64>,
     /// Attempts by other hosts, over a longer time than their reports cover.
     long_term_stats: BTreeMap<ShortId, LongTermAttemptStats>,
+    /// When this host last heard of an attempt by another one.
+    attempted_at: BTreeMap<ShortId, Duration>,
 }
 
 /// The difference between a report and the previous ones.
@@ -148,6 +150,7 @@
             group_admissions: BTreeMap::new(),
             data_centre_admissions: BTreeMap::new(),
             long_term_stats: BTreeMap::new(),
+            attempted_at: BTreeMap::new(),
         }
     }
 
@@ -179,7 +182,7 @@
             self.departed.extend(delta.removed.iter().map(|id| (*id, now)));
             count_admissions(&mut self.group_admissions, &delta.admissions);
             count_admissions(&mut self.data_centre_admissions, &delta.admissions);
-            add_attempts(&mut self.long_term_stats, &delta.attempts, now);
+            self.add_attempts(&delta.attempts, now);
             report_delta.add(delta);
             if self.is_group_representative(now) {
                 self.pass_on_to_group(Scope::Host(report.from.clone()));
@@ -216,7 +219,7 @@
             self.departed.extend(delta.removed.iter().map(|id| (*id, now)));
             count_admissions(&mut self.data_centre_admissions, &delta.admissions);
         }
-        add_attempts(&mut self.long_term_stats, &delta.attempts, now);
+        self.add_attempts(&delta.attempts, now);
         report_delta.add(delta);
         let from_data_centre = report.data_centre == self.data_centre;
         if !from_group {
@@ -257,7 +260,7 @@
         self.departed.extend(delta.removed.iter().map(|id| (*id, now)));
         count_admissions(&mut self.group_admissions, &delta.admissions);
         count_admissions(&mut self.data_centre_admissions, &delta.admissions);
-        add_attempts(&mut self.long_term_stats, &delta.attempts, now);
+        self.add_attempts(&delta.attempts, now);
         report_delta.add(delta);
     }
 
@@ -295,6 +298,19 @@
         }
     }
 
+    fn add_attempts(&mut self, new_attempts: &[NewAttempts], now: Duration) {
+        for new in new_attempts {
+            let stats = self.long_term_stats.entry(new.instance).or_default();
+            stats.add(new.attempts, new.failures, now);
+            self.attempted_at.insert(new.instance, now);
+        }
+    }
+
+    /// Returns when this host last heard of an attempt by another one; zero if it never has.
+    pub(crate) fn attempted_at(&self, id: ShortId) -> Duration {
+        self.attempted_at.get(&id).copied().unwrap_or_default()
+    }
+
     /// Counts an admission by this host.
     pub(crate) fn count_admission(&mut self, id: ShortId) {
         *self.group_admissions.entry(id).or_default() += 1;
@@ -315,6 +331,7 @@
     pub(crate) fn prune(&mut self, now: Duration) {
         self.long_term_stats.retain(|_, stats| stats.at(now).attempts > NEGLIGIBLE_ATTEMPTS);
         self.departed.retain(|_, at| now <= *at + COUNT_LIFETIME);
+        self.attempted_at.retain(|_, at| now <= *at + COUNT_LIFETIME);
         self.totals.prune(now);
     }
 
@@ -361,16 +378,6 @@
     }
 }
 
-fn add_attempts(
-    stats: &mut BTreeMap<ShortId, LongTermAttemptStats>,
-    new_attempts: &[NewAttempts],
-    now: Duration,
-) {
-    for new in new_attempts {
-        stats.entry(new.instance).or_default().add(new.attempts, new.failures, now);
-    }
-}
-
 impl Peer {
     fn new(address: SocketAddr, data_centre: DataCentreId, now: Duration) -> Self {
         Self {
--- a/crates/gateway/src/gateway/placement.rs
+++ b/crates/gateway/src/gateway/placement.rs
@@ -36,6 +36,11 @@
 /// quarter of the requests retryable, almost every such instance is tried within two seconds.
 const EXPLORATIONS_PER_SECOND: f64 = 5.0;
 
+/// Time without an attempt after which an instance counts as not recently tried, however many
+/// attempts there were before. Well below the two seconds within which an instance that has
+/// recovered must be tried again.
+const RETRIAL_INTERVAL: Duration = Duration::from_millis(600);
+
 /// Whether a request may be used to try an instance without recent attempts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Exploration {
@@ -107,6 +112,7 @@
             if !usable || active.tried.contains(id) {
                 continue;
             }
+            let attempted_at = view.changed_at.max(self.fleet.attempted_at(view.short_id));
             let others = self.fleet.instance_totals(view.short_id);
             let mut fleet = others.recent_stats.at(now);
             let own = view.recent_stats.at(now);
@@ -129,7 +135,8 @@
                 same_data_centre: view.instance.data_centre == self.settings.data_centre,
                 warming_up: now < view.warming_up_until,
                 recently_rejected: view.rejected_at.is_some_and(|at| now < at + REJECTION_TTL),
-                stale: in_flight == 0.0 && fleet.is_stale(),
+                stale: in_flight == 0.0
+                    && (fleet.is_stale() || now > attempted_at + RETRIAL_INTERVAL),
                 likely_connected: view
                     .pooled_connection_at
                     .is_some_and(|at| now < at + CONNECTION_TTL),
--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -163,3 +163,41 @@
     harness.send_request("/order/1", Some("bar-key"));
     assert!(harness.refusal().is_some(), "the other host has used up the bucket");
 }
+
+/// Load pattern: an instance fails all requests that it has in work at the same moment, and recovers
+/// two seconds later. However many failures are known, it must be tried again within two seconds,
+/// and here within one second of the next requests.
+#[test]
+fn instance_with_many_failures_is_tried_again_soon_after_them() {
+    let mut harness = Harness::new(2);
+    let mut other = second_host();
+    let mut open = Vec::new();
+    for _ in 0..50 {
+        other.send_request("/order/1", KEY);
+        open.push(other.only_attempt());
+    }
+    let failing = open[0].1.clone();
+    for (attempt, chosen) in open {
+        let result = if chosen == failing { failed(true) } else { response(200, true) };
+        other.finish(attempt, result);
+    }
+    // The other host goes on reporting, so that its counts stay in use.
+    let mut pass_time = |harness: &mut Harness, time: Duration| {
+        for report in reports(&other.advance(time)) {
+            harness.step(Event::Report(report));
+        }
+        harness.advance(time);
+    };
+    for _ in 0..20 {
+        pass_time(&mut harness, Duration::from_millis(100));
+    }
+    let mut tried = false;
+    for _ in 0..20 {
+        harness.send_request("/lookup/1", KEY);
+        let (attempt, chosen) = harness.only_attempt();
+        tried |= chosen == failing;
+        harness.finish(attempt, response(200, true));
+        pass_time(&mut harness, Duration::from_millis(50));
+    }
+    assert!(tried, "the instance is tried again");
+}
