perf(ebonytack): leave the store to one host per data centre at the first start

Cause: every host that starts reads all tables from the store before it has heard of a host that reads them, and again until it has. Ruled out: waiting at every start. After a loss of all hosts nobody reads the store, and callers wait. Change: the setting `first_start`, filled in from the platform's `bootstrap`. Before: `host_of_first_start_reads_tables_from_host_that_reads_the_store` fails. After: it passes.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -44,6 +44,13 @@
 /// reports of others that read the store in its place.
 const SNAPSHOT_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a host waits at the first start of the fleet for reports of a host that reads the store,
+/// before it reads other tables than the members itself. Hosts hear each other after they have
+/// registered and read the members again.
+const FIRST_START_WAIT: Duration = Duration::from_millis(1_500);
+/// The additional wait of a host that has heard such a host, which reads the store by then.
+const FIRST_START_PEER_WAIT: Duration = Duration::from_millis(500);
+
 /// Returns how old the store's last response may be for a host to serve its copy of a table to
 /// others.
 pub(super) fn confirmation_age_max(table: Table) -> Duration {
@@ -82,6 +89,9 @@
     table: Table,
     member: Member,
 ) {
+    if table != Table::Members && shell.settings.borrow().first_start {
+        wait_for_reader(&shell).await;
+    }
     let mut follower = Follower {
         shell,
         clients,
@@ -100,6 +110,15 @@
     }
 }
 
+/// Waits at the first start of the fleet, when no requests arrive yet, so that not every host reads
+/// the store.
+async fn wait_for_reader(shell: &GatewayShell) {
+    tokio::time::sleep(FIRST_START_WAIT).await;
+    if !shell.read_peers().preceding.is_empty() {
+        tokio::time::sleep(FIRST_START_PEER_WAIT).await;
+    }
+}
+
 /// The state of the follower of one table.
 struct Follower {
     shell: Rc<GatewayShell>,
--- a/crates/ebonytack/src/gateway/settings.rs
+++ b/crates/ebonytack/src/gateway/settings.rs
@@ -21,6 +21,9 @@
     store_address: String,
     fleet_secret: String,
     caller_connections: usize,
+    /// Whether all hosts start together for the first time.
+    #[serde(default)]
+    first_start: bool,
     /// Limits for retries, customers' rates and shutdown, each as `name=number`.
     #[serde(default)]
     bounds: Vec<String>,
@@ -53,6 +56,8 @@
     pub(super) store: SocketAddr,
     pub(super) fleet_secret: String,
     pub(super) caller_connections: usize,
+    /// Whether all hosts start together for the first time, before callers send requests.
+    pub(super) first_start: bool,
     pub(super) bounds: Bounds,
 }
 
@@ -109,6 +114,7 @@
                     store,
                     fleet_secret: raw.fleet_secret,
                     caller_connections: raw.caller_connections,
+                    first_start: raw.first_start,
                     bounds,
                 })
             }
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -62,12 +62,17 @@
 
 impl HostProcess {
     async fn start(name: &str, store: &StandInStore) -> Self {
+        Self::start_with(name, store, "").await
+    }
+
+    /// Starts a host with additional settings, each followed by a comma.
+    async fn start_with(name: &str, store: &StandInStore, settings_text: &str) -> Self {
         let reserved = [(); 3].map(|()| ReservedAddress::new().expect("a port is free"));
         let [callers, ready, peers] = reserved.each_ref().map(ReservedAddress::get);
         let settings = std::env::temp_dir()
             .join(format!("ebonytack-gateway-{}-{name}.json", std::process::id()));
         let text = format!(
-            r#"{{"name": "{name}", "data_centre": "a", "fleet_secret": "a secret of enough bytes",
+            r#"{{{settings_text} "name": "{name}", "data_centre": "a", "fleet_secret": "a secret of enough bytes",
             "listen": {{"callers": "{callers}", "ready": "{ready}", "peers": "{peers}"}},
             "store_address": "{}", "caller_connections": 100, "bounds": ["graceS=6"]}}"#,
             store.address
@@ -312,3 +317,20 @@
     }
     assert!(!fixture.host.has_exited());
 }
+
+/// Load pattern: hundreds of hosts that start at the same moment, each call of the store priced.
+#[actix_rt::test]
+async fn host_of_first_start_reads_tables_from_host_that_reads_the_store() {
+    let store = StandInStore::start().await.expect("the store starts");
+    store.put_configuration(&configuration(1, &[KEY]));
+    let first_start = r#""first_start": true,"#;
+    let _first = HostProcess::start_with("boot-1", &store, first_start).await;
+    let second = HostProcess::start_with("boot-2", &store, first_start).await;
+    second.wait_for_line(&["Operator is read from 127.0.0.1"]).await;
+    second.wait_for_line(&["Instances is read from 127.0.0.1"]).await;
+    let log = second.log.lock().expect("no thread panicked");
+    let from_store = |table: &str| format!("{table} is read from the store");
+    for table in ["Operator", "Instances"] {
+        assert!(!log.iter().any(|line| line.contains(&from_store(table))), "{table}: {log:?}");
+    }
+}
