fix(gateway): let a customer use its burst at a host that it has not used before

Change: a host creates the bucket when it first hears of the customer, by a request or in a report, with the tokens that accrued since its own start, less what is reported. What was admitted before its start stays unknown, so that a restarted host is as careful as before. Before: `customer_may_use_its_burst_at_a_host_that_it_has_not_used` fails at the fourth request.

--- a/crates/gateway/src/gateway/customers.rs
+++ b/crates/gateway/src/gateway/customers.rs
@@ -34,11 +34,10 @@
         let live_share = self.fleet.live_share(now);
         let others = self.fleet.demand(short, now);
         let sample = self.random.next_f64();
-        let bucket = self.customers.entry(id.clone());
-        let bucket = bucket.or_insert_with(|| SharedBucket::new(&rate, live_share, now));
+        self.report_due = true;
+        let bucket = self.bucket(id, &rate);
         bucket.count_demand(now);
         let demand = others + bucket.demand(now);
-        self.report_due = true;
         if bucket.admit(&rate, live_share, demand, sample, now) {
             self.fleet.count_admission(short);
             return Ok(());
@@ -55,6 +54,15 @@
         Err((Refusal::not_run(RefusalReason::RateExceeded).retry_after(delay), input))
     }
 
+    /// Returns the bucket of a customer. It is created when the customer is first heard of, by a
+    /// request or in a report.
+    pub(super) fn bucket(&mut self, id: &CustomerId, rate: &SharedRate) -> &mut SharedBucket {
+        let (now, live_share) = (self.now, self.fleet.live_share(self.now));
+        let running_for = now.saturating_sub(self.started_at.unwrap_or(now));
+        let bucket = self.customers.entry(id.clone());
+        bucket.or_insert_with(|| SharedBucket::new(rate, live_share, running_for, now))
+    }
+
     /// Adds back the customer's token for a request that did not run.
     pub(super) fn refund_customer(&mut self, id: &CustomerId) {
         if let Some(bucket) = self.customers.get_mut(id) {
@@ -64,7 +72,7 @@
 
     /// Returns the customer's rate with the bucket size: its burst and the tolerated excess, less
     /// the requests of a surge that are admitted before the hosts know of each other's admissions.
-    fn customer_rate(&self, id: &CustomerId) -> Option<SharedRate> {
+    pub(super) fn customer_rate(&self, id: &CustomerId) -> Option<SharedRate> {
         let customer = self.configuration.as_ref()?.customers.get(id)?;
         let per_second = customer.rate_per_second?;
         let allowed = per_second * self.settings.rate_window.as_secs_f64() + customer.burst;
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -58,12 +58,11 @@
         if admissions.is_empty() {
             return;
         }
-        for (id, bucket) in &mut self.customers {
-            let short = short_id(id);
-            admissions
-                .iter()
-                .filter(|(reported, _)| *reported == short)
-                .for_each(|admission| bucket.subtract_remote(admission.1));
+        for (short, count) in &admissions {
+            let Some(id) = self.customer_ids.get(short).cloned() else { continue };
+            if let Some(rate) = self.customer_rate(&id) {
+                self.bucket(&id, &rate).subtract_remote(*count);
+            }
         }
         for (id, service) in &mut self.services {
             let short = retry_budget_id(id);
@@ -218,7 +217,8 @@
         let customers = self.customers.iter().map(|(id, bucket)| (short_id(id), bucket));
         let retry_budgets =
             self.services.iter().map(|(id, view)| (retry_budget_id(id), &view.retry_budget));
-        for (id, bucket) in customers.chain(retry_budgets) {
+        let used = |(_, bucket): &(u32, &SharedBucket)| bucket.changed_at() > Duration::ZERO;
+        for (id, bucket) in customers.chain(retry_budgets).filter(used) {
             counts.customers.insert(id, bucket.counts(now));
         }
         counts
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -117,6 +117,8 @@
     pub(super) instances: BTreeMap<InstanceId, InstanceView>,
     pub(super) services: BTreeMap<ServiceId, ServiceView>,
     pub(super) customers: BTreeMap<CustomerId, SharedBucket>,
+    /// The customers of the configuration in force by their short ids in reports.
+    pub(super) customer_ids: BTreeMap<ShortId, CustomerId>,
     pub(super) requests: BTreeMap<RequestId, ActiveRequest>,
     pub(super) attempts: BTreeMap<AttemptId, RequestId>,
     pub(super) next_attempt: AttemptId,
@@ -141,7 +143,8 @@
     pub(super) remote_rotation: usize,
     pub(super) last_live_hosts: u32,
     pub(super) stopping: bool,
-    pub(super) started: bool,
+    /// Time of the first step.
+    pub(super) started_at: Option<Duration>,
     pub(super) next_wake: Option<Duration>,
 }
 
@@ -160,6 +163,7 @@
             instances: BTreeMap::new(),
             services: BTreeMap::new(),
             customers: BTreeMap::new(),
+            customer_ids: BTreeMap::new(),
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next_attempt: 1,
@@ -177,7 +181,7 @@
             remote_rotation: 0,
             last_live_hosts: 0,
             stopping: false,
-            started: false,
+            started_at: None,
             next_wake: None,
         }
     }
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -11,8 +11,8 @@
     /// time since the host started; an earlier `now` than in the previous call is ignored.
     pub fn step(&mut self, now: Duration, event: Event) -> Vec<Effect> {
         self.now = now.max(self.now);
-        if !self.started {
-            self.started = true;
+        if self.started_at.is_none() {
+            self.started_at = Some(self.now);
             self.timers.arm(self.now, TimerEvent::GroupReport);
             self.timers.arm(self.now, TimerEvent::GroupTotals);
             self.timers.arm(self.now, TimerEvent::RemoteReport);
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -34,6 +34,7 @@
         });
         let customers = &configuration.customers;
         self.customers.retain(|id, _| customers.contains_key(id));
+        self.customer_ids = customers.keys().map(|id| (short_id(id), id.clone())).collect();
         self.configuration = Some(configuration);
     }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -60,12 +60,14 @@
 }
 
 impl SharedBucket {
-    /// Creates a bucket with the tokens that accrued while the process restarted. A restarted
-    /// host does not know what was admitted before.
-    pub fn new(rate: &SharedRate, live_share: f64, now: Duration) -> Self {
-        let level = rate.per_second * GRANTED_SHARE * live_share * RESTART_TIME_MIN_S;
+    /// Creates the bucket of a customer that was not heard of in `running_for`, the time since the
+    /// process started. It holds the tokens that accrued in that time and while the process
+    /// restarted; what was admitted before is unknown.
+    pub fn new(rate: &SharedRate, live_share: f64, running_for: Duration, now: Duration) -> Self {
+        let accrued_s = RESTART_TIME_MIN_S + running_for.as_secs_f64();
+        let level = rate.per_second * GRANTED_SHARE * live_share * accrued_s;
         let level = level.min(rate.burst * live_share);
-        Self { level, updated_at: now, demand_at: now, live_share, ..Self::default() }
+        Self { level, updated_at: now, live_share, ..Self::default() }
     }
 
     /// Counts a request towards the demand, admitted or not.
@@ -86,7 +88,7 @@
         decayed_demand(self.demand_per_second, now.saturating_sub(self.demand_at))
     }
 
-    /// Returns when the demand or the number of admissions last changed.
+    /// Returns when the demand or the number of admissions last changed; zero if it never has.
     pub fn changed_at(&self) -> Duration {
         self.demand_at.max(self.admitted_rate_at)
     }
--- a/crates/gateway/tests/suite/customers.rs
+++ b/crates/gateway/tests/suite/customers.rs
@@ -77,7 +77,7 @@
 fn remote_admissions_cause_rejections_until_the_bucket_refills() {
     let now = Duration::from_secs(1);
     let rate = SharedRate { per_second: 10.0, burst: 5.0 };
-    let mut bucket = SharedBucket::new(&rate, 1.0, now);
+    let mut bucket = SharedBucket::new(&rate, 1.0, Duration::ZERO, now);
     assert!(bucket.admit(&rate, 1.0, 100.0, 0.0, now));
     bucket.subtract_remote(30);
     assert!(!bucket.admit(&rate, 1.0, 100.0, 0.0, now));
@@ -94,7 +94,7 @@
         let rate = SharedRate { per_second: f64::from(rate), burst: f64::from(burst) };
         let start = Duration::from_secs(1);
         let mut now = start;
-        let mut bucket = SharedBucket::new(&rate, 1.0, now);
+        let mut bucket = SharedBucket::new(&rate, 1.0, Duration::ZERO, now);
         let mut admitted = 0.0;
         for gap in gaps_ms {
             now += Duration::from_millis(u64::from(gap));
@@ -109,3 +109,15 @@
     }
     QuickCheck::new().tests(300).quickcheck(holds as fn(Vec<u8>, u8, u8) -> TestResult);
 }
+
+/// Load pattern: a customer that is far below its rate sends its burst through a host that it has not
+/// used before, long after the host started.
+#[test]
+fn customer_may_use_its_burst_at_a_host_that_it_has_not_used() {
+    let mut harness = Harness::new(8);
+    harness.advance(Duration::from_secs(10));
+    for request in 0..10 {
+        harness.send_request("/order/1", Some("bar-key"));
+        assert!(harness.refusal().is_none(), "request {request} of a burst of 10");
+    }
+}
