fix(gateway): let no host represent a group that it cannot hear

Cause: behind a one-way partition a representative was still heard by its group, though it heard nobody. It exchanged totals of itself alone, and the totals of the other groups and data centres, which were sent to it, reached nobody in its group. Ruled out: the end of its reports; they arrive, so that it stays live for all others. Change: a report says whether its sender hears others. A host that hears nobody represents nobody, and the next live host takes over. A host that is alone still removes members that sent no reports for 15 s, as before (`members_without_reports_are_removed_after_the_timeout`); one that is only deaf does so too, and the members register again. That is open. `lost_representative_is_replaced_and_its_load_is_forgotten` paused hosts of the first group by mistake; it now pauses the second group's representative.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -49,6 +49,8 @@
     incarnation: Incarnation,
     sequence: u64,
     last_report_at: Option<Duration>,
+    /// Whether the host had heard others when it sent its last report.
+    hears_others: bool,
     /// When the host became known or joined the group in which it now is.
     known_since: Duration,
     /// The host's own counts; only hosts of the same group send them.
@@ -176,6 +178,7 @@
         (peer.incarnation, peer.sequence) = (report.incarnation, report.sequence);
         peer.address = report.address;
         peer.last_report_at = Some(now);
+        peer.hears_others = report.hears_others;
         let mut report_delta = ReportDelta::default();
         if has_own_counts {
             let delta = merge(&mut peer.own, &report.own, &mut self.totals, now);
@@ -386,6 +389,7 @@
             incarnation: 0,
             sequence: 0,
             last_report_at: None,
+            hears_others: false,
             known_since: now,
             own: ReceivedCounts::default(),
         }
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -119,7 +119,9 @@
     /// `MEMBER_TIMEOUT` and that this host has to remove: those of its group if it represents the
     /// group, and those of groups without any live host if it represents the data centre.
     pub(crate) fn expired_members(&self, now: Duration) -> Vec<String> {
-        if !self.is_group_representative(now) {
+        // The last live host has nobody to hear, but removes the others nevertheless.
+        let is_alone = !self.hears_others(now);
+        if !is_alone && !self.is_group_representative(now) {
             return Vec::new();
         }
         let is_expired = |since: Duration| now > since + MEMBER_TIMEOUT;
@@ -134,7 +136,7 @@
             })
             .map(|(name, _)| name.clone());
         let mut expired: Vec<String> = in_group.collect();
-        if self.is_data_centre_representative(now) {
+        if is_alone || self.is_data_centre_representative(now) {
             let in_other_groups = self.other_peers.iter().filter(|(name, peer)| {
                 let scope = Scope::Group(self.groups.of(name));
                 let group_heard_at = self.scopes.get(&scope).map_or(Duration::ZERO, |r| r.as_of);
@@ -169,10 +171,19 @@
     }
 
     /// Returns whether this host represents its group, that is, exchanges totals with the other
-    /// groups. The representative is the first live host by name.
+    /// groups. The representative is the first live host by name that hears others, so that a host
+    /// behind a one-way partition does not represent those that it cannot hear.
     pub(crate) fn is_group_representative(&self, now: Duration) -> bool {
         let mut preceding = self.group_peers.range(..self.name.clone());
-        !preceding.any(|(name, peer)| peer.own.is_recent(now) && self.is_in_group(name))
+        let represents =
+            |peer: &Peer| peer.own.is_recent(now) && (peer.hears_others || !peer.is_live(now));
+        self.hears_others(now)
+            && !preceding.any(|(name, peer)| represents(peer) && self.is_in_group(name))
+    }
+
+    /// Returns whether this host has heard another one lately.
+    pub(crate) fn hears_others(&self, now: Duration) -> bool {
+        self.live_counts(now).next().is_some()
     }
 
     /// Returns whether this host represents its data centre, that is, exchanges totals with other
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -193,6 +193,7 @@
             sequence: self.report_sequence,
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.address,
+            hears_others: self.fleet.hears_others(self.now),
             own,
             totals,
         };
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -26,6 +26,8 @@
     pub data_centre: DataCentreId,
     /// Address on which the sender receives reports.
     pub address: SocketAddr,
+    /// Whether the sender has heard another host lately. Without that it represents nobody.
+    pub hears_others: bool,
     /// The sender's own counts; without hosts in reports that leave its group.
     pub own: Section,
     /// Counts of other hosts that the sender passes on, and totals of groups and data centres.
--- a/crates/gateway/tests/suite/groups.rs
+++ b/crates/gateway/tests/suite/groups.rs
@@ -33,6 +33,8 @@
     hosts: Vec<(Member, Gateway)>,
     /// Hosts that do not run: they neither receive reports nor send any.
     paused: Vec<bool>,
+    /// Hosts that reach others but are not reached by them.
+    unreachable: Vec<bool>,
     now: Duration,
     network: Network,
     random: Random,
@@ -68,6 +70,7 @@
         let mut cluster = Self {
             hosts: members.iter().map(start).collect(),
             paused: vec![false; members.len()],
+            unreachable: vec![false; members.len()],
             now: Duration::from_secs(1),
             network: Network::default(),
             random: Random::new(seed),
@@ -121,7 +124,7 @@
             let now = self.now;
             let due: Vec<_> = self.in_transit.extract_if(.., |(at, _, _)| *at <= now).collect();
             for (_, host, report) in due {
-                if !self.paused[host] {
+                if !self.paused[host] && !self.unreachable[host] {
                     self.received[host] += 1;
                     self.step(host, Event::Report(report));
                 }
@@ -325,7 +328,7 @@
     let mut cluster = Cluster::new(1, 40, 1, 5);
     cluster.advance(SETTLED);
     let first_of_second_group =
-        (0..40).find(|host| *host > 0 && cluster.hosts[*host].0.name.as_str() >= "host-0-013");
+        (0..40).find(|host| *host > 0 && cluster.hosts[*host].0.name.as_str() >= "host-0-014");
     let representative = first_of_second_group.expect("a host of the second group");
     cluster.request(representative, "/order/1");
     cluster.request(representative + 1, "/order/1");
@@ -340,6 +343,30 @@
     assert_eq!(cluster.request(0, "/order/1").2, 2.0);
 }
 
+/// A one-way partition: the representative is heard but hears nobody.
+#[test]
+fn representative_that_hears_nobody_is_replaced() {
+    let mut cluster = Cluster::new(2, 40, 1, 8);
+    cluster.advance(SETTLED);
+    // Representatives of the first group, which is that of the data centre, and of the second one.
+    for host in [0, 14] {
+        cluster.unreachable[host] = true;
+    }
+    cluster.advance(Duration::from_secs(2));
+    for host in [1, 20, 39, 41] {
+        assert!(cluster.heard(host) >= 78, "host {host} hears {}", cluster.heard(host));
+    }
+    cluster.request(15, "/order/1");
+    cluster.request(41, "/order/1");
+    cluster.advance(Duration::from_millis(900));
+    for host in [1, 20, 39, 79] {
+        let (attempt, _, load) = cluster.request(host, "/order/1");
+        assert_eq!(load, 2.0, "host {host}");
+        cluster.step(host, Event::Attempt { attempt, result: response(200, true) });
+        cluster.advance(Duration::from_millis(900));
+    }
+}
+
 #[test]
 fn restarted_host_has_no_requests_of_its_previous_process() {
     let mut cluster = Cluster::new(1, 40, 1, 6);
--- a/crates/wire/schema/report.capnp
+++ b/crates/wire/schema/report.capnp
@@ -10,6 +10,7 @@
   address @5 :Text;
   own @6 :Section;
   totals @7 :List(Totals);
+  hearsOthers @8 :Bool;
 }
 
 struct Totals {
--- a/crates/wire/src/report.rs
+++ b/crates/wire/src/report.rs
@@ -26,6 +26,7 @@
     root.set_sequence(report.sequence);
     root.set_data_centre(&report.data_centre);
     root.set_address(report.address.to_string());
+    root.set_hears_others(report.hears_others);
     encode_section(root.reborrow().init_own(), &report.own);
     let mut list = root.init_totals(report.totals.len() as u32);
     for (index, (scope, section)) in report.totals.iter().enumerate() {
@@ -84,6 +85,7 @@
         address: address
             .parse()
             .map_err(|_| Error::new(ErrorKind::Malformed, format!("address {address:?}")))?,
+        hears_others: root.get_hears_others(),
         own: decode_section(root.get_own()?)?,
         totals: totals.collect::<Result<_>>()?,
     })
