refactor(gateway): apply the counts of a host in one place

Cause: counts that a host sends itself and those that its representative passes on were applied by two copies of the same lines, and queues and send states had names that differ in one letter. Ruled out: a change of behaviour; the 70 tests of the crate pass unchanged. Change: `on_host_section` and `note_relay`; `group_queue`, `other_groups_queue` and the send states named alike.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -93,17 +93,18 @@
     totals: Totals,
     /// Instances of which counts of this data centre were dropped, and when.
     departed: BTreeMap<ShortId, Duration>,
-    /// Sections that were sent to the group, and to the other groups.
-    sent_to_group: BTreeMap<Scope, SectionSendState>,
-    sent_to_groups: BTreeMap<Scope, SectionSendState>,
+    /// What was sent last: sections of other hosts and scopes to the group and to the other groups,
+    /// this host's own counts to its group, and totals to other groups and data centres.
+    group_send_states: BTreeMap<Scope, SectionSendState>,
+    other_groups_send_states: BTreeMap<Scope, SectionSendState>,
     sent_own: SectionSendState,
     sent_totals: BTreeMap<Scope, SectionSendState>,
     /// The host through which this one exchanges counts with its group, while it is heard.
     relay: Option<Relay>,
     /// Scopes with sections that are to be passed on to the group.
-    for_group: Vec<Scope>,
+    group_queue: Vec<Scope>,
     /// Scopes with sections that are to be passed on to the other groups of the data centre.
-    for_groups: Vec<Scope>,
+    other_groups_queue: Vec<Scope>,
     /// Admissions in this host's group, and in its data centre, as far as this host knows of them.
     /// Invariant: never decrease.
     group_admissions: BTreeMap<ShortId, u64>,
@@ -142,13 +143,13 @@
             scopes: BTreeMap::new(),
             totals: Totals::default(),
             departed: BTreeMap::new(),
-            sent_to_group: BTreeMap::new(),
-            sent_to_groups: BTreeMap::new(),
+            group_send_states: BTreeMap::new(),
+            other_groups_send_states: BTreeMap::new(),
             sent_own: SectionSendState::default(),
             sent_totals: BTreeMap::new(),
             relay: None,
-            for_group: Vec::new(),
-            for_groups: Vec::new(),
+            group_queue: Vec::new(),
+            other_groups_queue: Vec::new(),
             group_admissions: BTreeMap::new(),
             data_centre_admissions: BTreeMap::new(),
             long_term_stats: BTreeMap::new(),
@@ -181,12 +182,7 @@
         peer.hears_others = report.hears_others;
         let mut report_delta = ReportDelta::default();
         if has_own_counts {
-            let delta = merge(&mut peer.own, &report.own, &mut self.totals, now);
-            self.departed.extend(delta.removed.iter().map(|id| (*id, now)));
-            count_admissions(&mut self.group_admissions, &delta.admissions);
-            count_admissions(&mut self.data_centre_admissions, &delta.admissions);
-            self.add_attempts(&delta.attempts, now);
-            report_delta.add(delta);
+            self.on_host_section(&report.from, &report.own, &mut report_delta, now);
             if self.is_group_representative(now) {
                 self.pass_on_to_group(Scope::Host(report.from.clone()));
             }
@@ -207,7 +203,11 @@
         now: Duration,
     ) {
         if let Scope::Host(name) = scope {
-            self.on_relayed(report, name, section, report_delta, now);
+            // Until all hosts have read the same members, some consider this one to be in their group.
+            if self.is_in_group(&report.from) {
+                self.note_relay(&report.from, now);
+                self.on_host_section(name, section, report_delta, now);
+            }
             return;
         }
         if self.is_own_scope(scope) {
@@ -230,31 +230,29 @@
         }
         let is_for_groups =
             matches!(scope, Scope::DataCentre(_)) && (from_group || !from_data_centre);
-        if is_for_groups && !self.for_groups.contains(scope) {
-            self.for_groups.push(scope.clone());
+        if is_for_groups && !self.other_groups_queue.contains(scope) {
+            self.other_groups_queue.push(scope.clone());
+        }
+    }
+
+    /// Records that a host passes the counts of this group's hosts on.
+    fn note_relay(&mut self, name: &str, now: Duration) {
+        match &mut self.relay {
+            Some(relay) if relay.name == name => relay.heard_at = now,
+            Some(relay) if !relay.is_replaced_by(name, now) => {}
+            _ => self.relay = Some(Relay { name: name.to_owned(), heard_at: now }),
         }
     }
 
-    /// Applies another host's own counts that the representative of the group has passed on.
-    fn on_relayed(
+    /// Applies the own counts of a host of the group, sent by the host itself or passed on by the
+    /// representative.
+    fn on_host_section(
         &mut self,
-        report: &Report,
         name: &str,
         section: &Section,
         report_delta: &mut ReportDelta,
         now: Duration,
     ) {
-        // Until all hosts have read the same members, some consider this one to be in their group.
-        if !self.is_in_group(&report.from) {
-            return;
-        }
-        if self.relay.as_ref().is_none_or(|relay| relay.is_replaced_by(&report.from, now)) {
-            self.relay = Some(Relay { name: report.from.clone(), heard_at: now });
-        }
-        if let Some(relay) = self.relay.as_mut().filter(|relay| relay.name == report.from) {
-            relay.heard_at = now;
-        }
-        // Only the counts of hosts that this one considers to be in its group are passed on to it.
         let Some(peer) = self.group_peers.get_mut(name) else { return };
         if !peer.own.is_older_than(section, now) {
             return;
@@ -268,8 +266,8 @@
     }
 
     fn pass_on_to_group(&mut self, scope: Scope) {
-        if !self.for_group.contains(&scope) {
-            self.for_group.push(scope);
+        if !self.group_queue.contains(&scope) {
+            self.group_queue.push(scope);
         }
     }
 
--- a/crates/gateway/src/fleet/outgoing.rs
+++ b/crates/gateway/src/fleet/outgoing.rs
@@ -75,28 +75,28 @@
     /// Removes and returns the sections of other groups and data centres that wait to be passed on
     /// to this host's group.
     pub(crate) fn take_sections_for_group(&mut self, now: Duration) -> Vec<(Scope, Section)> {
-        let scopes = std::mem::take(&mut self.for_group);
+        let scopes = std::mem::take(&mut self.group_queue);
         self.forward(scopes, Fleet::group_send_state, now)
     }
 
     /// Removes and returns the sections of other data centres that wait to be passed on to the
     /// other groups.
     pub(crate) fn take_sections_for_groups(&mut self, now: Duration) -> Vec<(Scope, Section)> {
-        let scopes = std::mem::take(&mut self.for_groups);
+        let scopes = std::mem::take(&mut self.other_groups_queue);
         self.forward(scopes, Fleet::groups_send_state, now)
     }
 
     /// Returns whether sections wait to be passed on to this host's group.
     pub(crate) fn has_sections_for_group(&self) -> bool {
-        !self.for_group.is_empty()
+        !self.group_queue.is_empty()
     }
 
     fn group_send_state(&mut self, scope: Scope) -> &mut SectionSendState {
-        self.sent_to_group.entry(scope).or_default()
+        self.group_send_states.entry(scope).or_default()
     }
 
     fn groups_send_state(&mut self, scope: Scope) -> &mut SectionSendState {
-        self.sent_to_groups.entry(scope).or_default()
+        self.other_groups_send_states.entry(scope).or_default()
     }
 
     fn forward(
