fix(gateway): report to all hosts of a single group, and exchange totals more often

One data centre has 16 hosts; with groups of at most 15 it had two, and counts of admissions and failures took up to 0.45 s instead of 0.3 s. What a customer is admitted beyond its rate in that time is refused later, when it is within it. Change: groups of at most 16; hosts of a data centre's only group report to each other; new failures go to all hosts of a group at once; totals every 50 ms between groups and every 100 ms between data centres, with instances every third time.

--- a/crates/gateway/src/fleet/groups.rs
+++ b/crates/gateway/src/fleet/groups.rs
@@ -12,7 +12,7 @@
 use crate::Member;
 
 /// Maximum number of hosts in a group.
-const GROUP_HOSTS_MAX: usize = 15;
+const GROUP_HOSTS_MAX: usize = 16;
 
 /// Number of a group within its data centre, from 0.
 pub(crate) type GroupIndex = u32;
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -183,7 +183,7 @@
         let mut report_delta = ReportDelta::default();
         if has_own_counts {
             self.on_host_section(&report.from, &report.own, &mut report_delta, now);
-            if self.is_group_representative(now) {
+            if self.has_several_groups() && self.is_group_representative(now) {
                 self.pass_on_to_group(Scope::Host(report.from.clone()));
             }
         }
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Returns whether the data centre has several groups. The hosts of a single one report to each
+    /// other, which is faster; of several, only their representatives pass counts on.
+    pub(crate) fn has_several_groups(&self) -> bool {
+        self.groups.of_data_centre(&self.data_centre).len() > 1
+    }
+
     /// Returns whether a host of this data centre belongs to the same group. Until it registers, a
     /// host belongs to the first one.
     pub(super) fn is_in_group(&self, name: &str) -> bool {
@@ -234,9 +240,9 @@
 impl Fleet {
     /// Returns the report addresses for this host's own counts: that of the host which passes them
     /// on to the group, or those of all hosts of the group, live or not, if this host is the one
-    /// that passes them on or none is heard.
-    pub(crate) fn group_addresses(&self, now: Duration) -> Vec<SocketAddr> {
-        let relay = self.relay.as_ref().filter(|relay| relay.is_live(now));
+    /// that passes them on, if none is heard, or if the counts are `urgent`.
+    pub(crate) fn group_addresses(&self, urgent: bool, now: Duration) -> Vec<SocketAddr> {
+        let relay = self.relay.as_ref().filter(|relay| relay.is_live(now) && !urgent);
         let relay = relay.filter(|relay| self.is_in_group(&relay.name));
         let relay = relay.filter(|_| !self.is_group_representative(now));
         match relay.and_then(|relay| self.group_peers.get(&relay.name)) {
--- a/crates/gateway/src/gateway/reports.rs
+++ b/crates/gateway/src/gateway/reports.rs
@@ -13,24 +13,27 @@
 use crate::report::{Scope, short_id};
 use crate::{Effect, Record, Report, Section};
 
-/// Minimum time between two reports to the group.
+/// Minimum time between two reports to the group, in a data centre with several groups, where they
+/// are passed on.
 const GROUP_INTERVAL: Duration = Duration::from_millis(50);
+/// `GROUP_INTERVAL` in a data centre with one group, whose hosts report to each other.
+const SINGLE_GROUP_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum time between two reports to the group when there are new failures, so that other hosts
 /// stop sending to the failing instance.
 const GROUP_URGENT_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum time between two reports to the group, well below `REPORT_LIFETIME`.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two reports to the other groups of the data centre.
-const GROUP_TOTALS_INTERVAL: Duration = Duration::from_millis(75);
+const GROUP_TOTALS_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum time between two reports that pass on new failures, between groups and from the
 /// representative to its group.
 const FORWARD_URGENT_INTERVAL: Duration = Duration::from_millis(35);
 /// Time between two reports to other data centres.
-const REMOTE_INTERVAL: Duration = Duration::from_millis(200);
+const REMOTE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of reports to other data centres of which one lists the counts of instances.
-const REMOTE_INSTANCES_PERIOD: usize = 2;
+const REMOTE_INSTANCES_PERIOD: usize = 3;
 /// Minimum time between two reports to other data centres when there are new failures.
-const REMOTE_URGENT_INTERVAL: Duration = Duration::from_millis(100);
+const REMOTE_URGENT_INTERVAL: Duration = Duration::from_millis(70);
 
 /// Processing of reports from peers.
 impl Gateway {
@@ -109,7 +112,11 @@
     }
 
     fn group_interval(&self) -> Duration {
-        if self.report_urgent { GROUP_URGENT_INTERVAL } else { GROUP_INTERVAL }
+        match self.report_urgent {
+            true => GROUP_URGENT_INTERVAL,
+            false if self.fleet.has_several_groups() => GROUP_INTERVAL,
+            false => SINGLE_GROUP_INTERVAL,
+        }
     }
 
     pub(super) fn send_group_report(&mut self) {
@@ -121,11 +128,11 @@
         if !due && self.report_sequence > 0 {
             return;
         }
+        let to = self.fleet.group_addresses(self.report_urgent, self.now);
         self.reported_at = self.now;
         self.report_due = false;
         self.report_urgent = false;
         self.forward_urgent = false;
-        let to = self.fleet.group_addresses(self.now);
         let own = self.own_counts();
         let own = self.fleet.own_section(&own, self.section_source(), self.now);
         let totals = self.fleet.take_sections_for_group(self.now);
