test(review): hosts that refuse a service for ever

A service that slows down in steps locks the hosts' admission: they refuse all requests after it is sound again.

--- a/review/stand-ins/caller.rs
+++ b/review/stand-ins/caller.rs
@@ -34,7 +34,6 @@
     pub ended_at: Duration,
     pub deadline: Duration,
     pub ending: Ending,
-    pub body: Vec<u8>,
 }
 
 /// What is sent in one attempt.
@@ -87,12 +86,10 @@
             request.body.len(),
             request.deadline.as_millis(),
         ));
-        let mut body = Vec::new();
         let ending = match self.open.take() {
             None => Ending::NoConnection,
             Some((mut reader, name)) => match exchange(&mut reader, request) {
-                Ok(Some((status, received, closes))) => {
-                    body = received;
+                Ok(Some((status, closes))) => {
                     if !closes {
                         self.open = Some((reader, name));
                     }
@@ -116,7 +113,6 @@
             ended_at: record.now(),
             deadline: request.deadline,
             ending,
-            body,
         }
     }
 }
@@ -124,7 +120,7 @@
 fn exchange(
     reader: &mut BufReader<TcpStream>,
     request: &Request<'_>,
-) -> Result<Option<(u16, Vec<u8>, bool)>> {
+) -> Result<Option<(u16, bool)>> {
     let stream = reader.get_mut();
     stream.set_read_timeout(Some(request.deadline + PATIENCE))?;
     stream.set_write_timeout(Some(request.deadline + PATIENCE))?;
@@ -142,6 +138,6 @@
     message.extend_from_slice(request.body);
     stream.write_all(&message)?;
     let Some(head) = read_head(reader)? else { return Ok(None) };
-    let body = read_body(reader, &head)?;
-    Ok(Some((head.second().parse().unwrap_or(0), body, head.closes())))
+    read_body(reader, &head)?;
+    Ok(Some((head.second().parse().unwrap_or(0), head.closes())))
 }
--- a/review/stand-ins/cases/fleet.rs
+++ b/review/stand-ins/cases/fleet.rs
@@ -21,16 +21,15 @@
     pub timeout_s: f64,
     pub rate_per_s: f64,
     pub burst: f64,
-    /// Whether the tenant `club` is in it; another one always is.
-    pub has_club: bool,
+    /// The name of the callers' tenant, if it is in it; another tenant always is.
+    pub tenant: Option<&'static str>,
 }
 
 impl Configuration {
     pub fn text(&self) -> String {
-        let club = match self.has_club {
-            true => format!(",[\"club\",[\"{KEY}\"],1,{},{}]", self.rate_per_s, self.burst),
-            false => String::new(),
-        };
+        let tenant = self.tenant.map_or(String::new(), |name| {
+            format!(",[\"{name}\",[\"{KEY}\"],1,{},{}]", self.rate_per_s, self.burst)
+        });
         let timeout_s = self.timeout_s;
         format!(
             "{{\"version\":\"{:08x}\",\"routes\":{{\"columns\":[\"name\",\"host\",\"prefix\",\
@@ -42,7 +41,7 @@
              \"rows\":[[\"{SERVICE}\",\"/healthz\",390,\"h1\",false]]}},\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeoutS\":3,\
              \"idleTimeoutS\":15}},\"tenants\":{{\"columns\":[\"name\",\"apiKeys\",\"priority\",\
-             \"ratePerS\",\"burst\"],\"rows\":[[\"shop\",[\"s989anu6wsjnbanfqasn\"],1,50,50]{club}]}}}}",
+             \"ratePerS\",\"burst\"],\"rows\":[[\"shop\",[\"s989anu6wsjnbanfqasn\"],1,50,50]{tenant}]}}}}",
             self.version
         )
     }
--- a/review/stand-ins/cases/late.rs
+++ b/review/stand-ins/cases/late.rs
@@ -32,7 +32,7 @@
         timeout_s: 2.5,
         rate_per_s: 1_000.0,
         burst: 1_000.0,
-        has_club: true,
+        tenant: Some("club"),
     };
     let work = Duration::from_millis(200);
     let fleet = Fleet::start(folder, &configuration, INSTANCES, work, HOSTS)?;
--- a/review/stand-ins/cases/memory.rs
+++ b/review/stand-ins/cases/memory.rs
@@ -45,7 +45,7 @@
         timeout_s: TIMEOUT_S,
         rate_per_s: 1_000.0,
         burst: 1_000.0,
-        has_club: true,
+        tenant: Some("club"),
     };
     let hosts = match trouble {
         Trouble::EndlessAnswers => 1,
--- a/review/stand-ins/cases/stop.rs
+++ b/review/stand-ins/cases/stop.rs
@@ -32,7 +32,7 @@
         timeout_s: 2.5,
         rate_per_s: 1_000.0,
         burst: 1_000.0,
-        has_club: true,
+        tenant: Some("club"),
     };
     let mut fleet = Fleet::start(folder, &configuration, 8, WORK, HOSTS)?;
     let record = fleet.record.clone();
--- a/review/stand-ins/instance.rs
+++ b/review/stand-ins/instance.rs
@@ -19,7 +19,6 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub instance: String,
-    pub customer: String,
     pub began_at: Duration,
     pub ended_at: Option<Duration>,
 }
@@ -31,7 +30,7 @@
 pub struct Instance {
     pub id: String,
     pub address: SocketAddr,
-    work: Duration,
+    work: Arc<Mutex<Duration>>,
     record: Record,
     runs: Runs,
     /// Running and waiting requests.
@@ -46,7 +45,7 @@
         let instance = Self {
             id: id.to_owned(),
             address: listener.local_addr()?,
-            work,
+            work: Arc::new(Mutex::new(work)),
             record: record.clone(),
             runs: Arc::clone(runs),
             load: Arc::default(),
@@ -67,6 +66,11 @@
         self.endless.store(endless, Ordering::Relaxed);
     }
 
+    /// Sets how long each request runs from now on.
+    pub fn set_work(&self, work: Duration) {
+        *self.work.lock().expect("no thread panicked") = work;
+    }
+
     pub fn registration(&self, service: &str, zone: &str, state: &str, seq: u64) -> String {
         format!(
             "{{\"address\":\"{}\",\"born\":1765000000000,\"info\":{{\"service\":\"{service}\",\
@@ -96,11 +100,12 @@
                 writer.write_all(format!("HTTP/1.1 503 X\r\n{echo}{rest}").as_bytes())?;
                 continue;
             }
-            self.begin(&id, text("x-ebonytack-tenant"));
+            self.begin(&id, &text("x-ebonytack-tenant"));
             let outcome = if self.endless.load(Ordering::Relaxed) {
                 self.send_without_end(&mut writer, &echo)
             } else {
-                thread::sleep(self.work);
+                let work = *self.work.lock().expect("no thread panicked");
+                thread::sleep(work);
                 let (running, waiting) = *self.load.0.lock().expect("no thread panicked");
                 let body = format!("done by {}\n", self.id);
                 let response = format!(
@@ -158,10 +163,10 @@
         self.load.1.notify_one();
     }
 
-    fn begin(&self, id: &str, customer: String) {
+    fn begin(&self, id: &str, customer: &str) {
         self.record.write(&format!("run     {id} began at {} for {customer:?}", self.id));
         let began_at = self.record.now();
-        let run = Run { instance: self.id.clone(), customer, began_at, ended_at: None };
+        let run = Run { instance: self.id.clone(), began_at, ended_at: None };
         self.runs.lock().expect("no thread panicked").entry(id.to_owned()).or_default().push(run);
     }
 
