--- a/review/stand-ins/cases/late.rs
+++ b/review/stand-ins/cases/late.rs
@@ -1,15 +1,16 @@
 //! A registration whose response the store lost is performed seconds later, after the instance has
 //! said that it drains.
 
+use std::collections::HashMap;
 use std::io::Result;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use super::fleet::{Configuration, Fleet, KEY, SERVICE, ZONE};
-use crate::caller::{Connection, Request};
+use crate::caller::{Connection, Ending, Request};
 
 const HOSTS: usize = 3;
 const INSTANCES: usize = 6;
@@ -23,8 +24,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// How much later than it was sent the lost registration is performed; 1 to 6 s are named.
 const LATE: Duration = Duration::from_millis(5_500);
-/// How long the instance serves after the store has acknowledged that it drains.
-const SERVES: Duration = Duration::from_secs(6);
+/// How long the instance serves after the store has acknowledged that it drains: `drainS` and a
+/// little longer. Then it exits.
+const SERVES: Duration = Duration::from_millis(2_900);
 
 pub fn run(folder: &Path, trouble: bool) -> Result<bool> {
     let configuration = Configuration {
@@ -38,11 +40,13 @@
     let fleet = Fleet::start(folder, &configuration, INSTANCES, work, HOSTS)?;
     let record = fleet.record.clone();
     let stop = Arc::new(AtomicBool::new(false));
+    let endings: Arc<Mutex<HashMap<String, Ending>>> = Arc::default();
     let callers: Vec<_> = (0..CALLERS)
         .map(|index| {
             let host = &fleet.hosts[index % HOSTS];
             let (name, address) = (host.name.clone(), host.callers);
             let (stop, record) = (Arc::clone(&stop), record.clone());
+            let endings = Arc::clone(&endings);
             thread::spawn(move || {
                 thread::sleep(PAUSE * index as u32 / CALLERS as u32);
                 let mut connection = Connection::default();
@@ -57,7 +61,8 @@
                         deadline: Duration::from_millis(2_500),
                         body: b"two handle sets",
                     };
-                    connection.send(&name, address, &request, &record);
+                    let attempt = connection.send(&name, address, &request, &record);
+                    endings.lock().expect("no thread panicked").insert(attempt.id, attempt.ending);
                     thread::sleep(PAUSE);
                 }
             })
@@ -102,8 +107,9 @@
         }
         thread::sleep(Duration::from_millis(5));
     }
+    instance.exit();
     fleet.store.put("servers", &instance.id, None);
-    record.write(&format!("store   {} is gone", instance.id));
+    record.write(&format!("store   {} has exited and is gone", instance.id));
     thread::sleep(Duration::from_secs(1));
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -117,11 +123,14 @@
         .map(|(run, id)| (run.began_at, id))
         .collect();
     late.sort();
+    let endings = endings.lock().expect("no thread panicked");
     for (began_at, id) in &late {
         record.say(&format!(
-            "DRAIN: order {id} reached {} {:.3} s after the store had acknowledged that it drains",
+            "DRAIN: order {id} reached {} {:.3} s after the store had acknowledged that it drains; its \
+             caller: {:?}",
             instance.id,
-            (*began_at - acknowledged_at).as_secs_f64()
+            (*began_at - acknowledged_at).as_secs_f64(),
+            endings.get(*id),
         ));
     }
     record.say(&format!("{} orders ran, {} of them too late at {}", runs.len(), late.len(), instance.id));
--- a/review/stand-ins/instance.rs
+++ b/review/stand-ins/instance.rs
@@ -35,6 +35,8 @@
     runs: Runs,
     /// Running and waiting requests.
     load: Arc<(Mutex<(usize, usize)>, Condvar)>,
+    /// Whether the instance has exited: it accepts nothing and answers nothing.
+    exited: Arc<AtomicBool>,
     /// Whether responses never end; see [`Instance::send_without_end`].
     endless: Arc<AtomicBool>,
 }
@@ -49,6 +51,7 @@
             record: record.clone(),
             runs: Arc::clone(runs),
             load: Arc::default(),
+            exited: Arc::default(),
             endless: Arc::default(),
         };
         let server = instance.clone();
@@ -62,6 +65,11 @@
         Ok(instance)
     }
 
+    /// Exits: connections end, with the requests in work.
+    pub fn exit(&self) {
+        self.exited.store(true, Ordering::Relaxed);
+    }
+
     pub fn set_endless(&self, endless: bool) {
         self.endless.store(endless, Ordering::Relaxed);
     }
@@ -86,6 +94,9 @@
         let mut reader = BufReader::new(stream);
         while let Some(head) = read_head(&mut reader)? {
             let _body = read_body(&mut reader, &head)?;
+            if self.exited.load(Ordering::Relaxed) {
+                return Ok(());
+            }
             let text = |name: &str| head.header(name).unwrap_or_default().to_owned();
             let id = text("x-ebonytack-request-id");
             let echo = format!("X-Ebonytack-Request-Id: {id}\r\n");
@@ -106,6 +117,9 @@
             } else {
                 let work = *self.work.lock().expect("no thread panicked");
                 thread::sleep(work);
+                if self.exited.load(Ordering::Relaxed) {
+                    return Ok(());
+                }
                 let (running, waiting) = *self.load.0.lock().expect("no thread panicked");
                 let body = format!("done by {}\n", self.id);
                 let response = format!(
