fix(gateway): stop listening and wait for callers' connections on shutdown

What callers saw: with two of three hosts of a data centre stopping, the balancer goes on using all three.

Cause: after the time for the balancer the listener stayed open. Connections opened later missed the one-time signal to close, the reducer accepted their requests, and the process exited 100 ms after the first moment without requests in flight, or at the end of the grace period with all that was in flight then. Responses that were still being written to slow callers were not waited for either.

Ruled out: the instances (all answer after 0.3 s), the drain time (orders sent within it are answered).

Change: the host stops listening after the drain time, connections see a signal that stays set, the exit waits until callers' connections are closed, and a request whose deadline is later than the exit is refused as not run. The `run` mode shares the listener and the wait.

--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -32,8 +32,6 @@
 /// How long a connection may stay idle. Replaces the configuration's `idle_timeout` (15 s by default)
 /// and should be longer, so that a host never closes a connection that its caller may still use.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// How long a shutdown waits for callers to read the last responses.
-const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 /// Returns the handler for callers' connections.
 pub(super) async fn service(
@@ -47,18 +45,12 @@
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || {
             let shell = Rc::clone(&shutdown_shell);
-            async move { shell.closing.notified().await }
+            async move { shell.closing.cancelled().await }
         })
         .h1(fn_service(move |request| handle(Rc::clone(&request_shell), request)));
     connection_service(factory).await
 }
 
-/// Closes callers' connections after their last responses.
-pub(super) async fn finish_connections(shell: &Rc<GatewayShell>) {
-    shell.closing.notify_waiters();
-    tokio::time::sleep(FLUSH_TIME).await;
-}
-
 /// Reads a request, forwards it and returns the response.
 async fn handle(
     shell: Rc<GatewayShell>,
--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -20,7 +20,7 @@
 use super::sources::SourceClients;
 use super::{callers, ready, relay};
 use crate::observe;
-use crate::runtime::accept_loop;
+use crate::runtime::Listener;
 
 /// The most connections to each of the `ready` and `metrics` listeners.
 const READY_CONNECTIONS_MAX: usize = 64;
@@ -31,8 +31,7 @@
 /// How long a stopping host still accepts requests, until the load balancer stops sending them.
 /// Covers two health checks, which are a second apart, and connections opened in the meantime.
 const DRAIN_TIME: Duration = Duration::from_millis(2_800);
-/// The part of the platform's stop grace period that is reserved for closing connections and
-/// flushing the log.
+/// The part of the platform's stop grace period that is reserved for flushing the log.
 const STOP_RESERVE: Duration = Duration::from_millis(350);
 /// How long after a store outage an instance whose entry was removed meanwhile stays in use: the two
 /// seconds that instances take to register again, minus the time in which a host notices the
@@ -61,15 +60,15 @@
     };
     let shell = GatewayShell::new(gateway, file.clone(), reports.clone(), log);
     let callers = callers::service(&shell).await?;
-    accept_loop(file.callers, file.caller_connections, callers).await?;
+    let callers = Listener::open(file.callers, file.caller_connections, callers).await?;
     if let Some(address) = file.metrics {
         let service = ready::service(&shell, metrics.clone()).await?;
-        accept_loop(address, READY_CONNECTIONS_MAX, service).await?;
+        Listener::open(address, READY_CONNECTIONS_MAX, service).await?;
     }
     let ready = ready::service(&shell, metrics).await?;
-    accept_loop(file.ready, READY_CONNECTIONS_MAX, ready).await?;
+    Listener::open(file.ready, READY_CONNECTIONS_MAX, ready).await?;
     let peers = relay::service(&shell, secret.clone()).await?;
-    accept_loop(file.peers, PEER_CONNECTIONS_MAX, peers).await?;
+    Listener::open(file.peers, PEER_CONNECTIONS_MAX, peers).await?;
     log::info!("start: serving on {}, incarnation {incarnation}.", file.callers);
     actix_rt::spawn(Rc::clone(&shell).tick_loop());
     actix_rt::spawn(reports.receive_loop(Rc::clone(&shell)));
@@ -86,7 +85,7 @@
         ));
     }
     shell.feed(Event::Tick);
-    wait_for_stop(&shell).await?;
+    wait_for_stop(&shell, callers).await?;
     log::info!("stop: complete.");
     shell.log.flush();
     Ok(())
@@ -154,9 +153,10 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT and shuts down gracefully: still accepts requests for up to
-/// [`DRAIN_TIME`], then waits for the requests in flight as long as the grace period allows.
-async fn wait_for_stop(shell: &Rc<GatewayShell>) -> Result<()> {
+/// Waits for SIGTERM or SIGINT and shuts down gracefully: still accepts connections for up to
+/// [`DRAIN_TIME`], then stops listening, closes idle connections, and waits for the requests in flight
+/// and until callers have received their responses, as long as the grace period allows.
+async fn wait_for_stop(shell: &Rc<GatewayShell>, callers: Listener) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -168,13 +168,16 @@
     shell.draining.set(true);
     let drain = DRAIN_TIME.min(grace / 2);
     tokio::time::sleep(drain).await;
-    shell.closing.notify_waiters();
-    let stopped = shell.stopped.notified();
-    shell.feed(Event::Stop);
+    let connections = callers.close();
+    shell.closing.cancel();
     let remaining = grace.saturating_sub(drain + STOP_RESERVE);
-    if tokio::time::timeout(remaining, stopped).await.is_err() {
+    shell.feed(Event::Stop { exit_within: remaining });
+    let finished = async {
+        shell.stopped.notified().await;
+        connections.closed().await;
+    };
+    if tokio::time::timeout(remaining, finished).await.is_err() {
         log::warn!("stop: requests were still in flight at the end of the grace period.");
     }
-    callers::finish_connections(shell).await;
     Ok(())
 }
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -12,6 +12,7 @@
 use ebonytack_http::IncomingResponse;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use super::attempt::{CallerRequest, Destination, run_attempt};
 use super::log_queue::LogQueue;
@@ -59,8 +60,9 @@
     wake_changed: Notify,
     /// Signalled when a graceful shutdown is complete and the process may exit.
     pub(super) stopped: Notify,
-    /// Tells callers' connections to close, during a graceful shutdown.
-    pub(super) closing: Notify,
+    /// Tells callers' connections, also later ones, to close after the response to the request that
+    /// they are reading or waiting for. Cancelled during a graceful shutdown.
+    pub(super) closing: CancellationToken,
     /// Whether a graceful shutdown has begun.
     pub(super) draining: Cell<bool>,
 }
@@ -91,7 +93,7 @@
             wake_at: Cell::new(None),
             wake_changed: Notify::new(),
             stopped: Notify::new(),
-            closing: Notify::new(),
+            closing: CancellationToken::new(),
             draining: Cell::new(false),
         })
     }
--- a/crates/ebonytack/src/proxy/mod.rs
+++ b/crates/ebonytack/src/proxy/mod.rs
@@ -7,4 +7,4 @@
 mod problem;
 mod response;
 
-pub(crate) use connections::{finish_connections, service};
+pub(crate) use connections::service;
--- a/crates/ebonytack/src/runtime/connection_service.rs
+++ b/crates/ebonytack/src/runtime/connection_service.rs
@@ -1,4 +1,4 @@
-//! Serves HTTP on connections that [`accept_loop`](super::accept_loop) has accepted.
+//! Serves HTTP on connections that [`Listener`](super::Listener) has accepted.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
--- a/crates/ebonytack/src/runtime/listen.rs
+++ b/crates/ebonytack/src/runtime/listen.rs
@@ -7,36 +7,77 @@
 
 use eyre::{Result, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 /// The pause after a failed accept, for instance for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Binds `address` and spawns a task that passes each connection to `handle`. Beyond `max` open
-/// connections, new ones are closed at once.
-pub(crate) async fn accept_loop<F, Fut>(address: SocketAddr, max: usize, handle: F) -> Result<()>
-where
-    F: Fn(TcpStream, SocketAddr) -> Fut + 'static,
-    Fut: Future<Output = ()> + 'static,
-{
-    let listener =
-        TcpListener::bind(address).await.wrap_err(format!("cannot listen on {address}"))?;
-    actix_rt::spawn(async move {
-        let open = Rc::new(Cell::new(0usize));
-        loop {
-            let Ok((stream, from)) = listener.accept().await else {
-                actix_rt::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            if open.get() >= max || stream.set_nodelay(true).is_err() {
-                continue;
+/// A listening socket whose connections are accepted by a task. Dropping it does not stop the task.
+pub(crate) struct Listener {
+    accepting: JoinHandle<()>,
+    connections: Rc<OpenConnections>,
+}
+
+/// The accepted connections that are still open.
+#[derive(Default)]
+pub(crate) struct OpenConnections {
+    count: Cell<usize>,
+    /// Signalled when the last connection is closed.
+    none_left: Notify,
+}
+
+impl Listener {
+    /// Binds `address` and spawns a task that passes each connection to `handle`. Beyond `max` open
+    /// connections, new ones are closed at once.
+    pub(crate) async fn open<F, Fut>(address: SocketAddr, max: usize, handle: F) -> Result<Self>
+    where
+        F: Fn(TcpStream, SocketAddr) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        let socket =
+            TcpListener::bind(address).await.wrap_err(format!("cannot listen on {address}"))?;
+        let connections = Rc::new(OpenConnections::default());
+        let accepted = Rc::clone(&connections);
+        let accepting = actix_rt::spawn(async move {
+            loop {
+                let Ok((stream, from)) = socket.accept().await else {
+                    actix_rt::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                };
+                if accepted.count.get() >= max || stream.set_nodelay(true).is_err() {
+                    continue;
+                }
+                actix_rt::spawn(Rc::clone(&accepted).track(handle(stream, from)));
+            }
+        });
+        Ok(Self { accepting, connections })
+    }
+
+    /// Stops listening, so that new connections are refused, and returns those that are open.
+    pub(crate) fn close(self) -> Rc<OpenConnections> {
+        self.accepting.abort();
+        self.connections
+    }
+}
+
+impl OpenConnections {
+    /// Waits until all connections are closed.
+    pub(crate) async fn closed(&self) {
+        while self.count.get() > 0 {
+            self.none_left.notified().await;
+        }
+    }
+
+    /// Counts a connection as open while `task` serves it.
+    fn track(self: Rc<Self>, task: impl Future<Output = ()>) -> impl Future<Output = ()> {
+        self.count.set(self.count.get() + 1);
+        async move {
+            task.await;
+            self.count.set(self.count.get() - 1);
+            if self.count.get() == 0 {
+                self.none_left.notify_one();
             }
-            open.set(open.get() + 1);
-            let (open, task) = (Rc::clone(&open), handle(stream, from));
-            actix_rt::spawn(async move {
-                task.await;
-                open.set(open.get() - 1);
-            });
         }
-    });
-    Ok(())
+    }
 }
--- a/crates/ebonytack/src/runtime/mod.rs
+++ b/crates/ebonytack/src/runtime/mod.rs
@@ -9,6 +9,6 @@
 mod trace_writer;
 
 pub(crate) use connection_service::{ConnectionTask, connection_service};
-pub(crate) use listen::accept_loop;
+pub(crate) use listen::Listener;
 pub(crate) use serve::serve;
 pub(crate) use shell::{CallerResponse, Shell};
--- a/crates/ebonytack/src/runtime/serve.rs
+++ b/crates/ebonytack/src/runtime/serve.rs
@@ -12,7 +12,7 @@
 
 use super::platform_link::PlatformLink;
 use super::trace_writer::TraceWriter;
-use super::{Shell, accept_loop};
+use super::{Listener, Shell};
 use crate::settings::Settings;
 use crate::{admin, peer, proxy};
 
@@ -30,7 +30,7 @@
     let entry = host_entry(&settings, &identity);
     let host = Host::new(identity);
     let shell = Shell::new(host, settings, platform.clone(), trace);
-    listen(&shell, metrics).await?;
+    let callers = listen(&shell, metrics).await?;
     log::info!("start: host {} is serving on {}.", shell.settings.host, shell.settings.callers);
     let seed_address = |(host, address): &(HostId, SocketAddr)| PeerAddress {
         host: *host,
@@ -42,7 +42,7 @@
     actix_rt::spawn(Rc::clone(&shell).tick_loop());
     let follow_hosts = platform.clone().follow_hosts(Rc::clone(&shell), entry.clone());
     let follow_hosts = actix_rt::spawn(follow_hosts);
-    wait_for_stop(&shell).await?;
+    wait_for_stop(&shell, callers).await?;
     follow_hosts.abort();
     platform.register(HostEntry { state: HostState::Leaving, ..entry }).await;
     shell.close_trace();
@@ -50,19 +50,22 @@
     Ok(())
 }
 
-async fn listen(shell: &Rc<Shell>, metrics: PrometheusHandle) -> Result<()> {
+/// Opens all listeners and returns the one for callers.
+async fn listen(shell: &Rc<Shell>, metrics: PrometheusHandle) -> Result<Listener> {
     let settings = &shell.settings;
     let connections = settings.connections_max;
-    accept_loop(settings.callers, connections, proxy::service(shell).await?).await?;
-    accept_loop(settings.peers, INTERNAL_CONNECTIONS_MAX, peer::service(shell)).await?;
-    accept_loop(settings.admin, INTERNAL_CONNECTIONS_MAX, admin::service(shell, metrics).await?)
-        .await
+    let callers =
+        Listener::open(settings.callers, connections, proxy::service(shell).await?).await?;
+    Listener::open(settings.peers, INTERNAL_CONNECTIONS_MAX, peer::service(shell)).await?;
+    let admin = admin::service(shell, metrics).await?;
+    Listener::open(settings.admin, INTERNAL_CONNECTIONS_MAX, admin).await?;
+    Ok(callers)
 }
 
 /// Waits for SIGTERM or SIGINT and shuts down gracefully: still accepts requests for the drain
-/// grace period, in which the load balancer sees that the host is not ready, then waits for the
-/// requests in flight.
-async fn wait_for_stop(shell: &Rc<Shell>) -> Result<()> {
+/// grace period, in which the load balancer sees that the host is not ready, then stops listening
+/// and waits for the requests in flight and until callers have received their responses.
+async fn wait_for_stop(shell: &Rc<Shell>, callers: Listener) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -72,12 +75,16 @@
     log::info!("stop: requested; no longer ready.");
     shell.draining.set(true);
     actix_rt::time::sleep(shell.settings.drain_grace).await;
-    let stopped = shell.stopped.notified();
+    let connections = callers.close();
+    shell.closing.cancel();
     shell.feed(Event::Stop);
-    if actix_rt::time::timeout(shell.settings.stop_timeout, stopped).await.is_err() {
+    let finished = async {
+        shell.stopped.notified().await;
+        connections.closed().await;
+    };
+    if actix_rt::time::timeout(shell.settings.stop_timeout, finished).await.is_err() {
         log::warn!("stop: requests were still in flight at the end of the stop timeout.");
     }
-    proxy::finish_connections(shell).await;
     Ok(())
 }
 
--- a/crates/ebonytack/src/runtime/shell.rs
+++ b/crates/ebonytack/src/runtime/shell.rs
@@ -11,6 +11,7 @@
     RequestId, StoredResponse, TraceRecord,
 };
 use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use super::platform_link::PlatformLink;
 use super::trace_writer::TraceWriter;
@@ -50,7 +51,7 @@
     /// Signalled when a graceful shutdown is complete and the process may exit.
     pub(crate) stopped: Notify,
     /// Tells callers' connections to close, during a graceful shutdown.
-    pub(crate) closing: Notify,
+    pub(crate) closing: CancellationToken,
     /// Whether a graceful shutdown has begun.
     pub(crate) draining: Cell<bool>,
 }
@@ -81,7 +82,7 @@
             wake_at: Cell::new(None),
             wake_changed: Notify::new(),
             stopped: Notify::new(),
-            closing: Notify::new(),
+            closing: CancellationToken::new(),
             draining: Cell::new(false),
         })
     }
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -7,12 +7,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use ebonytack_http::ExchangeErrorKind;
 use ebonytack_stand_in::{
     Behaviour, Caller, StandInInstance, StandInStore, StoreFault, configuration, is_ready,
 };
 use ebonytack_testbed::ReservedAddress;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const KEY: &str = "club-key";
 
@@ -114,6 +117,15 @@
         self.process.try_wait().expect("the process status is available").is_some()
     }
 
+    /// Waits up to `limit` for the process to exit; returns whether it did.
+    async fn wait_for_exit(&mut self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        while !self.has_exited() && Instant::now() < deadline {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.has_exited()
+    }
+
     /// Sends a request and returns the status, or 0 when there is no response.
     async fn request(&self, path: &'static str, id: &str, key: &str) -> u16 {
         let response = Caller::new(self.callers).send(path, id, key, 2_000).await;
@@ -262,6 +274,59 @@
     fixture.host.wait_for_line(&["stop: complete"]).await;
 }
 
+/// Guards against orders that a stopping host accepts and then cuts off by exiting.
+#[actix_rt::test]
+async fn stopping_host_answers_every_order_that_it_sends_to_an_instance() {
+    let slow = Behaviour::Answer(Duration::from_millis(300));
+    let mut fixture = Fixture::start("cut", &[slow, slow, slow]).await;
+    let address = fixture.host.callers;
+    // Like a load balancer that has no other host, callers open connections until they are refused.
+    let callers = (0..8).map(|caller| async move {
+        let mut unanswered = Vec::new();
+        let mut sent = 0;
+        loop {
+            let id = format!("o-{caller}-{sent}");
+            sent += 1;
+            match Caller::new(address).send("/order/1", &id, KEY, 2_500).await {
+                Ok(_) => {}
+                Err(error) if error.kind == ExchangeErrorKind::Connect => return unanswered,
+                Err(_) => unanswered.push(id),
+            }
+        }
+    });
+    let callers = actix_rt::spawn(futures_util::future::join_all(callers));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fixture.host.signal(Signal::SIGTERM);
+    let unanswered = callers.await.expect("the callers end").concat();
+    let lost: Vec<&String> = unanswered.iter().filter(|id| fixture.run_count(id) > 0).collect();
+    assert!(lost.is_empty(), "orders that ran without a response: {lost:?}");
+    // The callers end when the host stops listening, which leaves it half of its grace period.
+    assert!(fixture.host.wait_for_exit(Duration::from_secs(3)).await, "the host exits in time");
+}
+
+/// Guards against responses that a stopping host cuts off because their callers read slowly.
+#[actix_rt::test]
+async fn stopping_host_waits_for_a_caller_that_reads_its_response_slowly() {
+    const BODY_BYTES: usize = 24 * 1024 * 1024;
+    let mut fixture = Fixture::start("slow", &[Behaviour::AnswerLarge(BODY_BYTES)]).await;
+    let mut caller = TcpStream::connect(fixture.host.callers).await.expect("a connection");
+    let request = format!(
+        "POST /order/1 HTTP/1.1\r\nhost: shop.example\r\nx-ebonytack-request-id: o-1\r\n\
+         x-ebonytack-credential: {KEY}\r\nx-ebonytack-deadline-ms: 2500\r\n\
+         content-length: 2\r\n\r\nok"
+    );
+    caller.write_all(request.as_bytes()).await.expect("the request is sent");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fixture.host.signal(Signal::SIGTERM);
+    // Longer than the time for which a stopping host accepts requests.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let mut response = Vec::new();
+    caller.read_to_end(&mut response).await.expect("the response is not cut off");
+    assert!(response.len() > BODY_BYTES, "{} bytes were received", response.len());
+    fixture.host.wait_for_line(&["stop: complete"]).await;
+    assert!(fixture.host.wait_for_exit(Duration::from_secs(1)).await, "the host exits");
+}
+
 /// Waits until a host refuses the old key and accepts the new one, and returns how long it took.
 async fn wait_for_key(host: &HostProcess, old: &str, new: &str) -> Duration {
     let started_at = Instant::now();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -54,8 +54,11 @@
     },
     /// Time passed; due timers run.
     Tick,
-    /// A graceful shutdown begins.
-    Stop,
+    /// The host accepts no more connections, and exits once the requests in flight have ended.
+    Stop {
+        /// Time until the host exits even if requests are still in flight.
+        exit_within: Duration,
+    },
 }
 
 /// The result of an attempt.
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -12,6 +12,8 @@
 
 /// Retry delay for callers of a host without a configuration.
 const RETRY_AFTER_START: Duration = Duration::from_millis(300);
+/// Retry delay for callers of a stopping host, before jitter. Other hosts can serve them at once.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(50);
 
 /// The route, customer and priority that the configuration assigns to a request.
 struct ResolvedRequest {
@@ -32,6 +34,15 @@
             }
         };
         let ResolvedRequest { route, customer, priority } = resolved;
+        let timeout = incoming.timeout.unwrap_or(Duration::MAX).min(route.timeout);
+        let deadline = self.now + timeout;
+        if self.exit_at.is_some_and(|exit_at| deadline > exit_at) {
+            let delay = self.with_jitter(RETRY_AFTER_STOP);
+            let refusal = Refusal::not_run(RefusalReason::Stopping).retry_after(delay);
+            let input = "the deadline is later than the exit of the host".to_owned();
+            self.refuse_unplaced(request, incoming.caller_request_id, route.name, refusal, input);
+            return;
+        }
         let service = self.pick_service(&route.targets);
         self.count_request(&service);
         if let Some(customer) = &customer
@@ -40,8 +51,6 @@
             self.refuse_unplaced(request, incoming.caller_request_id, route.name, refusal, input);
             return;
         }
-        let timeout = incoming.timeout.unwrap_or(Duration::MAX).min(route.timeout);
-        let deadline = self.now + timeout;
         self.timers.arm(deadline, TimerEvent::Expiry(request));
         let active = ActiveRequest {
             caller_request_id: incoming.caller_request_id,
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -142,7 +142,8 @@
     pub(super) group_rotation: usize,
     pub(super) remote_rotation: usize,
     pub(super) last_live_hosts: u32,
-    pub(super) stopping: bool,
+    /// When the host exits at the latest; `None` unless it is stopping.
+    pub(super) exit_at: Option<Duration>,
     /// Time of the first step.
     pub(super) started_at: Option<Duration>,
     pub(super) next_wake: Option<Duration>,
@@ -180,7 +181,7 @@
             group_rotation: 0,
             remote_rotation: 0,
             last_live_hosts: 0,
-            stopping: false,
+            exit_at: None,
             started_at: None,
             next_wake: None,
         }
@@ -189,7 +190,7 @@
     /// Returns whether the host can serve requests: it has a configuration and the list of
     /// members, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.stopping && self.configuration.is_some() && self.members_known
+        self.exit_at.is_none() && self.configuration.is_some() && self.members_known
     }
 
     /// Returns the configuration in force; `None` until one was read.
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -45,7 +45,7 @@
             Event::StoreUnreachable => self.on_store_state(None),
             Event::StoreReachable { reachable_for } => self.on_store_state(Some(reachable_for)),
             Event::Tick => self.next_wake = None,
-            Event::Stop => self.on_stop(),
+            Event::Stop { exit_within } => self.on_stop(exit_within),
         }
     }
 
@@ -61,8 +61,8 @@
         }
     }
 
-    fn on_stop(&mut self) {
-        self.stopping = true;
+    fn on_stop(&mut self, exit_within: Duration) {
+        self.exit_at = Some(self.now + exit_within);
         let requests = self.requests_in_flight() as u64;
         self.record(Record::StopBegan { requests });
     }
@@ -74,7 +74,7 @@
             self.next_wake = Some(at);
             self.effects.push(Effect::WakeAt(at));
         }
-        if self.stopping && self.requests_in_flight() == 0 {
+        if self.exit_at.is_some() && self.requests_in_flight() == 0 {
             self.effects.push(Effect::Stopped);
         }
         std::mem::take(&mut self.effects)
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ebonytack_core::RefusalReason;
+use ebonytack_core::{RefusalReason, RunState};
 use ebonytack_gateway::{Effect, Event, InstanceState};
 
 use crate::support::{Harness, configuration, instance, member, response};
@@ -120,7 +120,7 @@
     let mut harness = Harness::new(1);
     harness.send_request("/order/1", KEY);
     let (attempt, _) = harness.only_attempt();
-    harness.step(Event::Stop);
+    harness.step(Event::Stop { exit_within: Duration::from_secs(3) });
     assert!(!harness.gateway.is_ready());
     let stopped = |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::Stopped));
     assert!(!stopped(&harness.effects));
@@ -129,6 +129,21 @@
     assert!(stopped(&harness.effects));
 }
 
+/// Guards against orders that a stopping host sends to an instance and cannot wait for.
+#[test]
+fn stopping_host_refuses_requests_whose_deadline_is_later_than_its_exit() {
+    let mut harness = Harness::new(1);
+    harness.step(Event::Stop { exit_within: Duration::from_millis(2_500) });
+    harness.send_request_with_timeout("/order/1", KEY, Duration::from_secs(2));
+    harness.only_attempt();
+    harness.advance(Duration::from_secs(1));
+    harness.send_request_with_timeout("/order/1", KEY, Duration::from_secs(2));
+    let refusal = harness.refusal().expect("a refusal");
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::Stopping, RunState::NotRun));
+    assert!(refusal.retry_after.is_some());
+    assert!(harness.attempts().is_empty());
+}
+
 #[test]
 fn members_without_reports_are_removed_after_the_timeout() {
     let mut harness = Harness::new(1);
