fix(gateway): order an instance's entries by process start and number

Cause: the store had not answered an earlier write of the instance and performed it 5.5 s later. The reducer took entries in the order of arrival; the entry's number was not decoded, the process start not compared. The same made a late write of an ended process replace the entry of its successor, and brought an instance back after its entry was removed.

Ruled out: stale copies of the table at other hosts (the late row has the newest row version).

Change: for each id the reducer remembers the start and highest number of the newest process, for 5 minutes after the removal too, and ignores older entries. An entry of an earlier start counts after 30 s without a newer one, when a clock went back before a restart.

--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -220,6 +220,24 @@
     assert_eq!(draining.customers().len(), requests_before);
 }
 
+/// Guards against a registration that the store performs late, after a newer one of the instance.
+#[actix_rt::test]
+async fn late_registration_does_not_bring_a_draining_instance_back() {
+    let fixture = Fixture::start("late", &[FAST, FAST]).await;
+    let draining = &fixture.instances[0];
+    let late = draining.registration("stock", "ready");
+    fixture.store.put_instance(draining.id(), Some(draining.registration("stock", "draining")));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    fixture.store.put_instance(draining.id(), Some(late));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let requests_before = draining.arrivals().len();
+    for _ in 0..20 {
+        assert_eq!(fixture.request("/lookup/1", "l").await, 200);
+    }
+    assert_eq!(draining.arrivals().len(), requests_before);
+    fixture.host.wait_for_line(&["\"event\":\"instance-entry-ignored\"", "i-0"]).await;
+}
+
 #[actix_rt::test]
 async fn requests_are_served_during_store_faults() {
     let fixture = Fixture::start("away", &[FAST]).await;
--- /dev/null
+++ b/crates/gateway/src/gateway/known_process.rs
@@ -0,0 +1,68 @@
+//! What a host remembers of an instance's process, also after its entry was removed.
+
+use std::time::Duration;
+
+use crate::Instance;
+
+/// Time for which a process is remembered after its entry was removed. Far longer than the store may
+/// take to perform a write that it has not acknowledged.
+const REMEMBERED_TIME: Duration = Duration::from_secs(300);
+/// Time after which an entry with an earlier start is used if no newer entry has followed. A process
+/// that is alive writes its entry again much sooner, so the entry is not that of an ended process.
+const EARLIER_START_WAIT: Duration = Duration::from_secs(30);
+
+/// The newest process of one instance id that the host knows of.
+#[derive(Debug)]
+pub(super) struct KnownProcess {
+    started_at_unix_ms: u64,
+    /// The highest number of its entries.
+    sequence: u64,
+    /// The entry that the store holds although its process started earlier, and since when.
+    earlier_start: Option<(Instance, Duration)>,
+    /// When the entry was removed; `None` while there is one.
+    removed_at: Option<Duration>,
+}
+
+impl KnownProcess {
+    /// Creates the knowledge that follows from the first entry of an id.
+    pub(super) fn new(entry: &Instance) -> Self {
+        Self {
+            started_at_unix_ms: entry.started_at_unix_ms,
+            sequence: entry.sequence,
+            earlier_start: None,
+            removed_at: None,
+        }
+    }
+
+    /// Takes an entry into account and returns whether it is the newest one. The store may perform
+    /// a write late, so an entry that arrives later may have been written earlier.
+    pub(super) fn accept(&mut self, entry: &Instance, now: Duration) -> bool {
+        if entry.written_order() >= (self.started_at_unix_ms, self.sequence) {
+            *self = Self::new(entry);
+            return true;
+        }
+        self.earlier_start = (entry.started_at_unix_ms < self.started_at_unix_ms)
+            .then(|| (entry.clone(), self.earlier_start.as_ref().map_or(now, |(_, since)| *since)));
+        false
+    }
+
+    /// Records that the entry was removed.
+    pub(super) fn remove(&mut self, now: Duration) {
+        self.earlier_start = None;
+        self.removed_at.get_or_insert(now);
+    }
+
+    /// Returns the entry of an earlier start that is now to be used, since no newer one followed.
+    /// Happens when the clock of the instance's machine went back before the instance was started.
+    pub(super) fn take_earlier_start(&mut self, now: Duration) -> Option<Instance> {
+        let is_due = |(_, since): &mut (Instance, Duration)| now >= *since + EARLIER_START_WAIT;
+        let (entry, _) = self.earlier_start.take_if(is_due)?;
+        *self = Self::new(&entry);
+        Some(entry)
+    }
+
+    /// Returns whether the process can be forgotten.
+    pub(super) fn is_expired(&self, now: Duration) -> bool {
+        self.removed_at.is_some_and(|at| now >= at + REMEMBERED_TIME)
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod customers;
+mod known_process;
 mod placement;
 mod reports;
 mod requests;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -9,6 +9,7 @@
     Timers,
 };
 
+use super::known_process::KnownProcess;
 use crate::balance::{LongTermAttemptStats, RecentAttemptStats};
 use crate::fleet::Fleet;
 use crate::limits::SharedBucket;
@@ -115,6 +116,8 @@
     pub(super) members_known: bool,
     pub(super) fleet: Fleet,
     pub(super) instances: BTreeMap<InstanceId, InstanceView>,
+    /// What entries said of the processes behind the ids, also of instances that were removed.
+    pub(super) processes: BTreeMap<InstanceId, KnownProcess>,
     pub(super) services: BTreeMap<ServiceId, ServiceView>,
     pub(super) customers: BTreeMap<CustomerId, SharedBucket>,
     /// The customers of the configuration in force by their short ids in reports.
@@ -162,6 +165,7 @@
             configuration: None,
             members_known: false,
             instances: BTreeMap::new(),
+            processes: BTreeMap::new(),
             services: BTreeMap::new(),
             customers: BTreeMap::new(),
             customer_ids: BTreeMap::new(),
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -1,10 +1,12 @@
 //! Handles input from the store: the configuration, the instances and the store's reachability.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ebonytack_core::InstanceId;
 
 use super::Gateway;
+use super::known_process::KnownProcess;
 use super::state::{InstanceView, TimerEvent};
 use crate::balance::{LongTermAttemptStats, RecentAttemptStats};
 use crate::report::short_id;
@@ -42,9 +44,9 @@
 /// Registration and removal of instances.
 impl Gateway {
     pub(super) fn on_all_instances(&mut self, instances: Vec<Instance>) {
-        let listed: Vec<&InstanceId> = instances.iter().map(|instance| &instance.id).collect();
+        let listed: BTreeSet<&InstanceId> = instances.iter().map(|instance| &instance.id).collect();
         let removed: Vec<InstanceId> =
-            self.instances.keys().filter(|id| !listed.contains(id)).cloned().collect();
+            self.processes.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in removed {
             self.on_instance_removed(&id);
         }
@@ -53,7 +55,23 @@
         }
     }
 
+    /// Puts an entry into use, unless the host has already seen a newer one of its id.
     pub(super) fn on_instance(&mut self, instance: Instance) {
+        let now = self.now;
+        let process = self.processes.entry(instance.id.clone());
+        let process = process.or_insert_with(|| KnownProcess::new(&instance));
+        if !process.accept(&instance, now) {
+            self.record(Record::InstanceEntryIgnored {
+                instance: instance.id,
+                started_at_unix_ms: instance.started_at_unix_ms,
+                sequence: instance.sequence,
+            });
+            return;
+        }
+        self.use_entry(instance);
+    }
+
+    fn use_entry(&mut self, instance: Instance) {
         let now = self.now;
         let warming_up_until = now + instance.warm_up_left;
         let id = instance.id.clone();
@@ -80,6 +98,9 @@
     /// Removes an instance. A ready instance stays in use while the store is unreachable and during
     /// the grace period after an outage, since it may register again.
     pub(super) fn on_instance_removed(&mut self, id: &InstanceId) {
+        if let Some(process) = self.processes.get_mut(id) {
+            process.remove(self.now);
+        }
         let grace_period = self.settings.entry_grace_period;
         let keep = match self.store_reachable_since {
             None => true,
@@ -162,8 +183,18 @@
     }
 
     pub(super) fn run_housekeeping(&mut self) {
-        self.timers.arm(self.now + HOUSEKEEPING_INTERVAL, TimerEvent::Housekeeping);
-        self.fleet.prune(self.now);
+        let now = self.now;
+        self.timers.arm(now + HOUSEKEEPING_INTERVAL, TimerEvent::Housekeeping);
+        self.fleet.prune(now);
+        self.processes.retain(|_, process| !process.is_expired(now));
+        let earlier_starts: Vec<Instance> = self
+            .processes
+            .values_mut()
+            .filter_map(|process| process.take_earlier_start(now))
+            .collect();
+        for instance in earlier_starts {
+            self.use_entry(instance);
+        }
         if self.store_reachable_since.is_none() {
             return;
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,6 +12,8 @@
     pub id: InstanceId,
     /// Start time of the process, in Unix milliseconds; changes when the instance restarts.
     pub started_at_unix_ms: u64,
+    /// Number of the entry among those that the process wrote; a later entry has a higher number.
+    pub sequence: u64,
     /// Service that the instance provides.
     pub service: ServiceId,
     /// Address on which the instance accepts requests.
@@ -26,6 +28,14 @@
     pub warm_up_left: Duration,
 }
 
+impl Instance {
+    /// Returns the order in which entries of one id were written: by the start of their process,
+    /// then by their number.
+    pub(crate) fn written_order(&self) -> (u64, u64) {
+        (self.started_at_unix_ms, self.sequence)
+    }
+}
+
 /// Whether an instance accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InstanceState {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -124,6 +124,15 @@
         /// entry was removed during or shortly after an outage of the store.
         state: &'static str,
     },
+    /// An entry of an instance was ignored because the host has seen a newer one.
+    InstanceEntryIgnored {
+        /// Name of the instance, as registered in the store.
+        instance: InstanceId,
+        /// Start of the process that wrote the ignored entry, in Unix milliseconds.
+        started_at_unix_ms: u64,
+        /// Number of the ignored entry among those of its process.
+        sequence: u64,
+    },
     /// The failure probability of an instance crossed the threshold for avoiding it.
     InstanceAvoided {
         /// Instance whose failure probability changed.
@@ -169,7 +178,9 @@
             Self::Placed { .. } | Self::Overdue { .. } | Self::AttemptFailed { .. } => "upstream",
             Self::Delivered { .. } | Self::Refused { .. } | Self::Abandoned { .. } => "request",
             Self::ConfigurationInForce { .. } | Self::ConfigurationIgnored { .. } => "config",
-            Self::InstanceChanged { .. } | Self::InstanceAvoided { .. } => "health",
+            Self::InstanceChanged { .. }
+            | Self::InstanceEntryIgnored { .. }
+            | Self::InstanceAvoided { .. } => "health",
             Self::FleetHeard { .. } => "fleet",
             Self::Store { .. } => "store",
             Self::StopBegan { .. } => "stop",
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ebonytack_core::{RefusalReason, RunState};
-use ebonytack_gateway::{Effect, Event, InstanceState};
+use ebonytack_gateway::{Effect, Event, Instance, InstanceState};
 
 use crate::support::{Harness, configuration, instance, member, response};
 
@@ -48,7 +48,7 @@
 fn draining_instance_receives_no_new_requests() {
     let mut harness = Harness::new(2);
     let draining = InstanceState::Draining;
-    harness.step(Event::Instance(ebonytack_gateway::Instance { state: draining, ..instance(0) }));
+    harness.step(Event::Instance(Instance { state: draining, ..instance(0) }));
     for _ in 0..20 {
         harness.send_request("/order/1", KEY);
         let (attempt, chosen) = harness.only_attempt();
@@ -57,6 +57,82 @@
     }
 }
 
+fn entry(index: usize, started_at_unix_ms: u64, sequence: u64, state: InstanceState) -> Instance {
+    Instance { started_at_unix_ms, sequence, state, ..instance(index) }
+}
+
+/// Returns which of the instances `i-0` and `i-1` receive requests.
+fn used_instances(harness: &mut Harness) -> Vec<String> {
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        harness.send_request("/order/1", KEY);
+        for (attempt, chosen) in harness.attempts() {
+            used.insert(chosen);
+            harness.finish(attempt, response(200, true));
+        }
+    }
+    used.into_iter().collect()
+}
+
+/// Guards against a write that the store performs late and that brings a draining instance back.
+#[test]
+fn late_entry_does_not_replace_a_newer_one_of_the_same_process() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Instance(entry(0, 1, 3, InstanceState::Draining)));
+    harness.step(Event::Instance(entry(0, 1, 2, InstanceState::Ready)));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+    let late = vec![entry(0, 1, 2, InstanceState::Ready), instance(1)];
+    harness.step(Event::AllInstances(late));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+    harness.step(Event::Instance(entry(0, 1, 4, InstanceState::Ready)));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+}
+
+/// Guards against a write that the store performs after the instance's entry was removed.
+#[test]
+fn late_entry_does_not_bring_a_removed_instance_back() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Instance(entry(0, 1, 3, InstanceState::Draining)));
+    harness.step(Event::InstanceRemoved("i-0".to_owned()));
+    harness.step(Event::Instance(entry(0, 1, 2, InstanceState::Ready)));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+    // A process that registers again after its entry has expired continues to count.
+    harness.step(Event::Instance(entry(0, 1, 4, InstanceState::Ready)));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+}
+
+/// Guards against a late write of an ended process that replaces the entry of its successor.
+#[test]
+fn late_entry_of_an_ended_process_does_not_replace_that_of_its_successor() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Instance(entry(0, 7, 1, InstanceState::Draining)));
+    harness.step(Event::Instance(entry(0, 1, 9, InstanceState::Ready)));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+}
+
+/// Guards against a lost instance: the clock of its machine went back before it was started again.
+#[test]
+fn entry_with_an_earlier_start_is_used_when_no_newer_one_follows() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Instance(entry(0, 7, 5, InstanceState::Draining)));
+    harness.step(Event::Instance(entry(0, 6, 1, InstanceState::Ready)));
+    harness.advance(Duration::from_secs(20));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+    harness.advance(Duration::from_secs(20));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+}
+
+/// Guards against an ended process that counts as alive because its late write was the last one.
+#[test]
+fn ignored_entry_is_not_used_after_its_row_was_removed() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Instance(entry(0, 7, 5, InstanceState::Draining)));
+    harness.step(Event::Instance(entry(0, 6, 1, InstanceState::Ready)));
+    harness.step(Event::InstanceRemoved("i-0".to_owned()));
+    harness.advance(Duration::from_secs(40));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+}
+
 #[test]
 fn instance_removed_during_store_outage_is_kept_for_the_grace_period() {
     let mut harness = Harness::new(1);
@@ -105,7 +181,7 @@
         let (attempt, _) = harness.only_attempt();
         harness.finish(attempt, response(500, true));
     }
-    let restarted = ebonytack_gateway::Instance { started_at_unix_ms: 2, ..instance(0) };
+    let restarted = Instance { started_at_unix_ms: 2, ..instance(0) };
     harness.step(Event::Instance(restarted));
     harness.send_request("/order/1", KEY);
     let placed = harness.records().into_iter().find_map(|record| match record {
--- a/crates/gateway/tests/suite/support.rs
+++ b/crates/gateway/tests/suite/support.rs
@@ -184,6 +184,7 @@
     Instance {
         id: format!("i-{index}"),
         started_at_unix_ms: 1,
+        sequence: 1,
         service: "stock".to_owned(),
         address: format!("10.1.0.{}:8080", index + 1).parse().expect("an address"),
         data_centre: "a".to_owned(),
--- a/crates/model/src/world/hosts.rs
+++ b/crates/model/src/world/hosts.rs
@@ -71,6 +71,7 @@
         let instances = (0..self.instances.len()).map(|index| Instance {
             id: instance_name(index),
             started_at_unix_ms: 1,
+            sequence: 1,
             service: SERVICE.to_owned(),
             address: host_address(index),
             data_centre: data_centre(index),
