--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -238,6 +238,43 @@
     fixture.host.wait_for_line(&["\"event\":\"instance-entry-ignored\"", "i-0"]).await;
 }
 
+/// Guards against an odd entry of another writer after which a host ends or follows no more changes.
+#[actix_rt::test]
+async fn odd_entries_among_the_instances_do_not_stop_a_host() {
+    let mut fixture = Fixture::start("odd", &[FAST, FAST]).await;
+    let text = |from: &str, to: &str| {
+        let valid = fixture.instances[0].registration("stock", "ready");
+        let valid = String::from_utf8(valid).expect("a registration is text");
+        assert!(valid.contains(from), "{valid}");
+        valid.replacen(from, to, 1).into_bytes()
+    };
+    let port = fixture.instances[0].address.port().to_string();
+    let nested = format!("{}1{}", "[".repeat(5_000), "]".repeat(5_000));
+    let odd = [
+        ("odd-nested", text("\"v1\"", &nested)),
+        ("odd-number", text("\"warmupLeftS\":0", "\"warmupLeftS\":1.8e19")),
+        ("odd-slots", text("\"slots\":4", "\"slots\":1e300")),
+        ("odd-port", text(&port, "99999")),
+        ("odd-bytes", vec![0xff, 0x00, 0xfe]),
+    ];
+    for (id, entry) in odd {
+        fixture.store.put_instance(id, Some(entry));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let left = &fixture.instances[0];
+    fixture.store.put_instance(left.id(), Some(left.registration("stock", "draining")));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let requests_before = left.arrivals().len();
+    for _ in 0..10 {
+        assert_eq!(fixture.request("/lookup/1", "l").await, 200);
+    }
+    assert_eq!(fixture.instances[0].arrivals().len(), requests_before, "changes are followed");
+    // A host that starts reads the odd entries in its first list.
+    let second = HostProcess::start("odd-2", &fixture.store).await;
+    assert_eq!(second.request("/lookup/1", "l", KEY).await, 200);
+    assert!(!fixture.host.has_exited());
+}
+
 #[actix_rt::test]
 async fn requests_are_served_during_store_faults() {
     let fixture = Fixture::start("away", &[FAST]).await;
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -35,7 +35,7 @@
         };
         let ResolvedRequest { route, customer, priority } = resolved;
         let timeout = incoming.timeout.unwrap_or(Duration::MAX).min(route.timeout);
-        let deadline = self.now + timeout;
+        let deadline = self.now.saturating_add(timeout);
         if self.exit_at.is_some_and(|exit_at| deadline > exit_at) {
             let delay = self.with_jitter(RETRY_AFTER_STOP);
             let refusal = Refusal::not_run(RefusalReason::Stopping).retry_after(delay);
@@ -61,7 +61,7 @@
             attempts_max: route.attempts_max,
             priority,
             arrived_at: self.now,
-            target_at: self.now + route.target_latency,
+            target_at: self.now.saturating_add(route.target_latency),
             deadline,
             attempts: Vec::new(),
             tried: Vec::new(),
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -73,7 +73,7 @@
 
     fn use_entry(&mut self, instance: Instance) {
         let now = self.now;
-        let warming_up_until = now + instance.warm_up_left;
+        let warming_up_until = now.saturating_add(instance.warm_up_left);
         let id = instance.id.clone();
         match self.instances.get_mut(&id) {
             Some(view) if view.instance.is_same_process(&instance) => {
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -133,6 +133,23 @@
     assert_eq!(used_instances(&mut harness), ["i-1"]);
 }
 
+/// Guards against a host that ends, or stops reading entries, at numbers that no writer means.
+#[test]
+fn entries_with_extreme_numbers_do_not_stop_the_reducer() {
+    let mut harness = Harness::new(1);
+    harness.now = Duration::from_secs(3_600);
+    let extreme = Instance {
+        id: "odd".to_owned(),
+        slots: u32::MAX,
+        warm_up_left: Duration::from_secs_f64(18_446_744_073_709_549_568.0),
+        ..entry(1, u64::MAX, u64::MAX, InstanceState::Ready)
+    };
+    harness.step(Event::Instance(extreme.clone()));
+    harness.step(Event::AllInstances(vec![instance(0), extreme]));
+    harness.step(Event::InstanceRemoved("odd".to_owned()));
+    assert_eq!(used_instances(&mut harness), ["i-0"]);
+}
+
 #[test]
 fn instance_removed_during_store_outage_is_kept_for_the_grace_period() {
     let mut harness = Harness::new(1);
