fix(http): send a request with an earlier id on a new connection

What callers saw: nothing yet; another operator's callers were told "not run" for requests that an instance ran, since a faulty instance wrote an earlier refusal once more on a kept connection.

Cause: the id tells a copy from the response to a later request, except where a caller uses an id twice or sends none. Then the copy of the refusal passed for the response: 503 with "not run" while the instance ran the request.

Ruled out by tests: copies with another id are skipped; copies without one fail the exchange as "may have run"; the host's own retries never reach the same instance twice.

Change: a connection remembers the ids of its last 16 requests and refuses an exchange with one of them before anything is sent; requests without an id use new connections.

Tests: request_with_an_earlier_id_is_not_sent_on_the_same_connection and repeated_refusal_is_not_taken_for_a_later_response failed on the code before; both pass.

--- a/crates/ebonytack/src/gateway/attempt.rs
+++ b/crates/ebonytack/src/gateway/attempt.rs
@@ -108,7 +108,12 @@
     };
     let echo = request_echo(&request.caller_request_id);
     let exchange = Exchange { echo, body_max_bytes: RESPONSE_MAX_BYTES };
-    if let Some(connection) = shell.pool.take(address, idempotent) {
+    // Without an id, an earlier response that is sent once more passes for the one to this request.
+    let pooled = match &exchange.echo {
+        Some(_) => shell.pool.take(address, idempotent),
+        None => None,
+    };
+    if let Some(connection) = pooled {
         match exchange.run(connection, &outgoing).await {
             // Nothing was sent on the pooled connection, so a new connection is tried below.
             Err(error) if !error.sent => {}
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -1,9 +1,11 @@
 //! Tests of the `gateway` mode: host processes with a simulated store and simulated instances.
 
+use std::cell::Cell;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +17,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 const KEY: &str = "club-key";
 
@@ -382,6 +384,66 @@
     assert!(fixture.host.wait_for_exit(Duration::from_secs(1)).await, "the host exits");
 }
 
+/// Starts an instance that writes its last refusal once more before each later response on the same
+/// connection. It refuses the first request of a connection and runs the others. Returns its address
+/// and the number of connections that it has accepted.
+async fn start_instance_that_repeats_refusals() -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let connections = Rc::<Cell<u32>>::default();
+    let accepted = Rc::clone(&connections);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.set(accepted.get() + 1);
+            actix_rt::spawn(async move {
+                let mut refusal = String::new();
+                let mut buffer = [0; 4_096];
+                // The hosts of these tests send each request in one segment.
+                while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+                    let request = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
+                    let id = request.split("x-ebonytack-request-id: ").nth(1).unwrap_or_default();
+                    let id = id.lines().next().unwrap_or_default().to_owned();
+                    let response = match refusal.is_empty() {
+                        true => {
+                            refusal = format!(
+                                "HTTP/1.1 503 Full\r\nx-ebonytack-request-id: {id}\r\n\
+                                 x-ebonytack-not-processed: 1\r\ncontent-length: 0\r\n\r\n"
+                            );
+                            refusal.clone()
+                        }
+                        false => format!(
+                            "{refusal}HTTP/1.1 200 OK\r\nx-ebonytack-request-id: {id}\r\n\
+                             x-ebonytack-response-seal: 1\r\ncontent-length: 2\r\n\r\nok"
+                        ),
+                    };
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+/// Guards against "not run" for a request that an instance runs, because the instance wrote an
+/// earlier refusal once more.
+#[actix_rt::test]
+async fn repeated_refusal_is_not_taken_for_a_later_response() {
+    let fixture = Fixture::start("copy", &[FAST]).await;
+    let (address, connections) = start_instance_that_repeats_refusals().await;
+    let registration = fixture.instances[0].registration_at(address, "stock", "ready");
+    fixture.store.put_instance("i-0", Some(registration));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let served = async |id: &str| fixture.request("/order/1", id).await;
+    assert_eq!((served("o-1").await, connections.get()), (503, 1));
+    assert_eq!((served("o-2").await, connections.get()), (200, 1));
+    // The refusal of the first request has this id too, so a new connection is used.
+    assert_eq!((served("o-1").await, connections.get()), (503, 2));
+    // A request without an id never uses a connection that carried another one.
+    assert_eq!((served("").await, connections.get()), (503, 3));
+}
+
 /// Waits until a host refuses the old key and accepts the new one, and returns how long it took.
 async fn wait_for_key(host: &HostProcess, old: &str, new: &str) -> Duration {
     let started_at = Instant::now();
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,6 @@
 //! Client connections that are reused between exchanges.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind as IoErrorKind;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -10,6 +11,9 @@
 
 use crate::error::{ExchangeError, ExchangeErrorKind};
 
+/// How many ids of earlier requests a connection remembers. Peers send copies of recent responses.
+const EARLIER_IDS_MAX: usize = 16;
+
 /// Timeouts for opening a connection and for detecting a dead peer.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectSettings {
@@ -36,6 +40,9 @@
     idle_limit: Option<Duration>,
     /// Whether an exchange ended on the connection, so that bytes of it may still arrive.
     pub(crate) is_used: bool,
+    /// The ids of the latest requests that were sent on the connection, in order. Invariant: at most
+    /// `EARLIER_IDS_MAX`.
+    earlier_ids: VecDeque<String>,
 }
 
 impl Connection {
@@ -61,11 +68,26 @@
         socket.set_tcp_keepalive(&keep_alive).map_err(|_| connect_error)?;
         socket.set_tcp_user_timeout(Some(settings.user_timeout)).map_err(|_| connect_error)?;
         stream.set_nodelay(true).map_err(|_| connect_error)?;
-        Ok(Self { stream, idle_since: Instant::now(), idle_limit: None, is_used: false })
+        let (idle_since, earlier_ids) = (Instant::now(), VecDeque::new());
+        Ok(Self { stream, idle_since, idle_limit: None, is_used: false, earlier_ids })
+    }
+
+    /// Returns the connection as it is after an exchange, whose request had the id `request_id`.
+    pub(crate) fn into_idle(
+        mut self,
+        request_id: Option<&str>,
+        idle_limit: Option<Duration>,
+    ) -> Self {
+        if self.earlier_ids.len() == EARLIER_IDS_MAX {
+            self.earlier_ids.pop_front();
+        }
+        self.earlier_ids.extend(request_id.map(str::to_owned));
+        Self { idle_since: Instant::now(), idle_limit, is_used: true, ..self }
     }
 
-    pub(crate) fn idle(stream: TcpStream, idle_limit: Option<Duration>) -> Self {
-        Self { stream, idle_since: Instant::now(), idle_limit, is_used: true }
+    /// Returns whether a recent request on the connection had this id.
+    pub(crate) fn has_carried(&self, request_id: &str) -> bool {
+        self.earlier_ids.iter().any(|earlier| earlier == request_id)
     }
 
     /// Returns the time since the connection was opened or its last exchange ended.
--- a/crates/http/src/error.rs
+++ b/crates/http/src/error.rs
@@ -23,6 +23,9 @@
     /// The request cannot be encoded, the received bytes are not an HTTP response, or the responses
     /// belong to other requests.
     Malformed,
+    /// The connection has already carried a request with the same id, so that a late copy of the
+    /// response to that request could not be told from the response to this one.
+    IdReused,
     /// The response body exceeds [`Exchange::body_max_bytes`](crate::Exchange::body_max_bytes).
     TooLarge,
 }
@@ -44,6 +47,7 @@
             Self::Connect => "connect",
             Self::Broken => "broken",
             Self::Malformed => "malformed",
+            Self::IdReused => "id-reused",
             Self::TooLarge => "too-large",
         }
     }
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -60,6 +60,10 @@
         mut connection: Connection,
         request: &OutgoingRequest,
     ) -> Result<(IncomingResponse, Option<Connection>), ExchangeError> {
+        let request_id = self.echo.as_ref().map(|(_, id)| id.as_str());
+        if request_id.is_some_and(|id| connection.has_carried(id)) {
+            return Err(ExchangeError::unsent(ExchangeErrorKind::IdReused));
+        }
         let mut codec = ClientCodec::default();
         let bytes = encode(&mut codec, request)?;
         let (mut reader, mut writer) = connection.stream.split();
@@ -82,7 +86,7 @@
         let limit = idle_limit(&response.headers);
         let reusable =
             keep_open && request_complete && buffer_empty && limit != Some(Duration::ZERO);
-        let connection = reusable.then(|| Connection::idle(connection.stream, limit));
+        let connection = reusable.then(|| connection.into_idle(request_id, limit));
         Ok((response, connection))
     }
 }
--- a/crates/http/tests/suite/main.rs
+++ b/crates/http/tests/suite/main.rs
@@ -151,6 +151,11 @@
         "HTTP/1.1 200 OK\r\nx-id: another\r\ncontent-length: 5\r\n\r\nfirst",
         "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst",
         "HTTP/1.1 500 Failed\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 503 Full\r\nx-id: mine\r\nx-not-run: 1\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 5\r\n\r\nfirst",
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nconnection: close\r\n\r\nfirst",
+        "HTTP/1.1 421 Misdirected\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 429 Too Many\r\nx-not-run: 1\r\n\r\n",
         "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nfirst",
         "first",
     ];
@@ -170,6 +175,18 @@
     }
 }
 
+/// Guards against an earlier refusal, sent once more, that passes for the response to a running request:
+/// a request with the id of an earlier one cannot be told from it on the same connection.
+#[actix_rt::test]
+async fn request_with_an_earlier_id_is_not_sent_on_the_same_connection() {
+    let copy = "HTTP/1.1 503 Full\r\nx-id: mine\r\nx-not-run: 1\r\ncontent-length: 5\r\n\r\nfirst";
+    let (_, connection) = run(start_repeating_peer(copy).await, None).await.expect("a response");
+    let connection = connection.expect("the connection is reusable");
+    let exchange = Exchange { echo: Some((ID, "mine".to_owned())), body_max_bytes: 1_000 };
+    let error = exchange.run(connection, &request(None)).await.expect_err("nothing is sent");
+    assert_eq!((error.kind, error.sent), (ExchangeErrorKind::IdReused, false));
+}
+
 #[actix_rt::test]
 async fn close_delimited_response_needs_orderly_close() {
     let response = "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nall of it";
