test(http): no prefix of a response passes for complete

Another operator's clients got a 200 with an empty or short body, framed as whole, when an instance stopped in the middle of its head and closed. Each prefix of six framed responses and of the head of one that ends with its connection fails here with "may have run".

--- a/crates/http/tests/suite/main.rs
+++ b/crates/http/tests/suite/main.rs
@@ -218,6 +218,42 @@
     assert_eq!((error.kind, error.sent), (ExchangeErrorKind::Malformed, true));
 }
 
+/// Guards against a response that breaks off in its head, or anywhere else, and passes for complete.
+#[actix_rt::test]
+async fn no_prefix_of_a_framed_response_passes_for_complete() {
+    let responses = [
+        "HTTP/1.1 200 OK\r\nx-id: mine\r\nx-seal: 3e1b\r\ncontent-length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-seal: 3e1b\r\nx-id: mine\r\n\r\nhello",
+        "HTTP/1.1 200 OK\nx-id: mine\ncontent-length: 5\n\nhello",
+        "HTTP/1.1 200 OK\r\nx-id: mine\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nx-id: mine\r\n\r\n",
+    ];
+    for response in responses {
+        for length in 0..response.len() {
+            let prefix = &response[..length];
+            let error = run(start_peer(4_096, prefix, End::Close).await, None).await;
+            let error = error.expect_err(prefix);
+            assert!(error.sent, "{prefix:?}: the request may have run");
+        }
+        let (complete, _) = run(start_peer(4_096, response, End::Close).await, None)
+            .await
+            .unwrap_or_else(|error| panic!("{response}: {error}"));
+        assert!(complete.status.is_success());
+    }
+}
+
+/// The same for responses that end with their connection: their head must be complete.
+#[actix_rt::test]
+async fn no_prefix_of_a_head_passes_for_a_close_delimited_response() {
+    let head = "HTTP/1.1 200 OK\r\nx-id: mine\r\nx-seal: 3e1b\r\n\r\n";
+    for length in 0..head.len() {
+        let prefix = &head[..length];
+        let error = run(start_peer(4_096, prefix, End::Close).await, None).await;
+        assert!(error.expect_err(prefix).sent, "{prefix:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn early_response_is_returned_and_connection_dropped() {
     let response = "HTTP/1.1 413 Too Large\r\nx-id: mine\r\ncontent-length: 0\r\n\r\n";
