fix(ebonytack): fail responses that break off in run mode

What callers saw: a 200 with an empty body when an upstream closed after its head, before or within the body, or sent a body without a length (in the tests: "content-length: 5" and no body, delivered as 200 and empty).

Cause: the HTTP client takes the peer's close for the end of a body, whatever its framing, and a response without a length for an empty one.

Ruled out: the response builder (the client already reports an empty complete body).

--- a/crates/ebonytack/src/upstream/attempt.rs
+++ b/crates/ebonytack/src/upstream/attempt.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::StatusCode;
+use actix_http::error::ParseError;
 use actix_http::error::PayloadError;
-use actix_http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
+use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, RETRY_AFTER, TRANSFER_ENCODING};
+use actix_http::{Method, StatusCode};
 use awc::error::{ConnectError, SendRequestError};
 use bytes::BytesMut;
 use ebonytack_core::{AttemptOutcome, FailureKind, StoredResponse};
@@ -87,6 +88,9 @@
     }
     let response = request.send_body(outgoing.body.clone()).await.map_err(classify)?;
     let (status, headers) = (response.status(), response.headers().clone());
+    if is_close_delimited(&outgoing.method, status, &headers) {
+        return Err(AttemptError { kind: FailureKind::Malformed, sent: true });
+    }
     // The timeouts of this module apply instead of the client's own.
     let mut stream = response.timeout(Duration::MAX / 4);
     let mut body = BytesMut::new();
@@ -103,6 +107,14 @@
     Ok(UpstreamResponse { status, headers, body: body.freeze(), rest })
 }
 
+/// Returns whether the end of the connection ends the body (RFC 9112, section 6.3, rule 8). The client
+/// takes such a body for an empty one.
+fn is_close_delimited(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    method != Method::HEAD && !bodiless && !framed
+}
+
 /// Returns a stream that fails when `stream` makes no progress for [`PROGRESS_TIMEOUT`].
 fn with_progress_timeout(
     stream: impl Stream<Item = Result<bytes::Bytes, PayloadError>> + Unpin + 'static,
@@ -139,6 +151,9 @@
             AttemptError { kind: FailureKind::Connect, sent: false }
         }
         SendRequestError::Timeout => AttemptError { kind: FailureKind::Timeout, sent: true },
+        SendRequestError::Response(ParseError::Io(_)) => {
+            AttemptError { kind: FailureKind::Broken, sent: true }
+        }
         SendRequestError::Response(_) => AttemptError { kind: FailureKind::Malformed, sent: true },
         _ => AttemptError { kind: FailureKind::Broken, sent: true },
     }
--- a/crates/ebonytack/src/upstream/mod.rs
+++ b/crates/ebonytack/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod clients;
 mod message;
+mod strict_stream;
 
 pub(crate) use clients::Upstreams;
 pub(crate) use message::{BodyStream, OutgoingRequest, UpstreamResponse};
--- /dev/null
+++ b/crates/ebonytack/src/upstream/strict_stream.rs
@@ -0,0 +1,69 @@
+//! Connections to upstreams whose end is an error.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A connection on which the peer's close is an error. The client takes it for the end of a body,
+/// even in the middle of one with a length or in chunks; a complete response ends before the close.
+#[derive(Debug)]
+pub(super) struct StrictStream(pub(super) TcpStream);
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
+        match Pin::new(&mut self.0).poll_read(context, buffer) {
+            Poll::Ready(Ok(())) if has_room && buffer.filled().len() == before => {
+                Poll::Ready(Err(ErrorKind::UnexpectedEof.into()))
+            }
+            poll => poll,
+        }
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, context)
+    }
+}
--- a/crates/testbed/tests/suite/path.rs
+++ b/crates/testbed/tests/suite/path.rs
@@ -1,11 +1,12 @@
 //! Forwarding, rejection and retry of requests, and the trace of a host.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ebonytack_testbed::{Caller, InstanceFault};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::support::{plan, run};
 
@@ -84,6 +85,62 @@
     });
 }
 
+/// Starts an instance that answers each request but probes with `response`, and closes.
+async fn start_closing_instance(address: SocketAddr, response: &'static str) {
+    // The stand-in that listened here before needs a moment to see its fault.
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(_) => actix_rt::time::sleep(Duration::from_millis(5)).await,
+        }
+    };
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buffer = [0; 4_096];
+            let count = stream.read(&mut buffer).await.unwrap_or(0);
+            let is_probe = buffer[..count].starts_with(b"GET /health");
+            let health = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            // A failed write ends the connection, which closes it as well.
+            let _ = stream.write_all(if is_probe { health } else { response }.as_bytes()).await;
+        }
+    });
+}
+
+/// Guards against a response that breaks off and reaches the caller as a complete success.
+#[test]
+fn response_that_breaks_off_is_no_complete_success() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-instance: raw\r\n\r\n";
+    for response in [&HEAD[..9], &HEAD[..16], &HEAD[..30], &HEAD[..HEAD.len() - 3], HEAD] {
+        run(plan(), async |fleet| {
+            let upstream = fleet.upstream("catalogue");
+            upstream.set_fault_for_all(&InstanceFault { refuse: true, ..InstanceFault::default() });
+            start_closing_instance(upstream.addresses()["catalogue-1"], response).await;
+            let caller = Caller::new();
+            for _ in 0..5 {
+                let answer =
+                    caller.get(fleet.caller_address(1), "/catalogue/rods", "key-club").await;
+                assert!(!answer.is_success(), "{response:?}: {answer:?}");
+            }
+        });
+    }
+}
+
+/// Guards against a body that ends with its connection and reaches the caller as an empty success.
+#[test]
+fn response_without_a_length_is_not_delivered_as_an_empty_one() {
+    const RESPONSE: &str = "HTTP/1.1 200 OK\r\nx-instance: raw\r\n\r\nhello";
+    run(plan(), async |fleet| {
+        let upstream = fleet.upstream("catalogue");
+        upstream.set_fault_for_all(&InstanceFault { refuse: true, ..InstanceFault::default() });
+        start_closing_instance(upstream.addresses()["catalogue-1"], RESPONSE).await;
+        let caller = Caller::new();
+        for _ in 0..5 {
+            let answer = caller.get(fleet.caller_address(1), "/catalogue/rods", "key-club").await;
+            assert!(!answer.is_success() || answer.body == "hello", "{answer:?}");
+        }
+    });
+}
+
 #[test]
 fn malformed_requests_are_rejected_and_the_host_keeps_serving() {
     run(plan(), async |fleet| {
