feat(gateway): respect what instances say of their availability

Instances now say in their responses that they leave (`Server-Leaving`), and for how long they want no requests (`Retry-After` with 503).

The reducer keeps them per process: they survive new entries, a removal and a return of the entry, and end with the process. The longest pause counts. While all instances of a service pause, requests are refused at once and their Retry-After is the end of the first pause.

Alternatives: sharing pauses between hosts was not built; an instance speaks to one host.

--- a/crates/ebonyctl/src/command/explain.rs
+++ b/crates/ebonyctl/src/command/explain.rs
@@ -66,9 +66,10 @@
     fn is_context(&self, instances: &BTreeSet<&str>, hosts: &BTreeSet<&str>) -> bool {
         let from_host = hosts.contains(self.text("host"));
         match self.text("event") {
-            "instance-changed" | "instance-entry-ignored" | "instance-avoided" => {
-                from_host && instances.contains(self.text("instance"))
-            }
+            "instance-changed"
+            | "instance-entry-ignored"
+            | "instance-paused"
+            | "instance-avoided" => from_host && instances.contains(self.text("instance")),
             "attempt-failed" | "overdue" => instances.contains(self.text("instance")),
             "placed" | "delivered" | "refused" | "abandoned" => false,
             _ => from_host,
--- a/crates/ebonytack/src/gateway/attempt.rs
+++ b/crates/ebonytack/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
     OutgoingMetadata, read_response_metadata, request_echo, set_outgoing_headers,
 };
 use ebonytack_core::{AttemptId, CustomerId, InstanceId};
-use ebonytack_gateway::{AttemptResult, Event, UpstreamResponse};
+use ebonytack_gateway::{AttemptResult, Event, InstanceNotice, UpstreamResponse};
 use ebonytack_http::{Exchange, ExchangeError, IncomingResponse, OutgoingRequest};
 
 use super::pool::Pool;
@@ -57,6 +57,9 @@
         Ok(Ok(response)) => {
             metrics::histogram!("ebonytack_attempt_seconds").record(latency.as_secs_f64());
             let metadata = read_response_metadata(&response);
+            if metadata.notice != InstanceNotice::default() {
+                shell.feed(Event::Notice { attempt, notice: metadata.notice });
+            }
             if metadata.not_run {
                 AttemptResult::Rejected {
                     wrong_instance: metadata.wrong_instance,
--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -444,6 +444,120 @@
     assert_eq!((served("").await, connections.get()), (503, 3));
 }
 
+/// Sends requests until `instance` has received one.
+async fn reach(fixture: &Fixture, instance: &StandInInstance) {
+    for _ in 0..200 {
+        if instance.received_count() > 0 {
+            return;
+        }
+        fixture.request("/lookup/1", "l").await;
+    }
+    panic!("{} receives no request", instance.id());
+}
+
+/// Guards against requests to an instance that has said in a response that it leaves.
+#[actix_rt::test]
+async fn instance_that_says_it_leaves_receives_no_more_requests() {
+    let fixture = Fixture::start("leaving", &[FAST, FAST]).await;
+    let leaving = &fixture.instances[0];
+    leaving.set_extra_header("server-leaving", "1");
+    reach(&fixture, leaving).await;
+    let received = leaving.received_count();
+    // Its entry still says that it is ready, and is written again.
+    fixture.store.put_instance(leaving.id(), Some(leaving.registration("stock", "ready")));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    for _ in 0..30 {
+        assert_eq!(fixture.request("/lookup/1", "l").await, 200);
+    }
+    assert_eq!(leaving.received_count(), received);
+    fixture.host.wait_for_line(&["\"event\":\"instance-changed\"", "i-0", "leaving"]).await;
+}
+
+/// Guards against requests to an instance that has answered 503 with `Retry-After`.
+#[actix_rt::test]
+async fn instance_receives_no_requests_before_its_retry_after() {
+    let fixture = Fixture::start("paused", &[Behaviour::TurnAway, FAST]).await;
+    let paused = &fixture.instances[0];
+    paused.set_extra_header("retry-after", "1.5");
+    reach(&fixture, paused).await;
+    let (received, paused_at) = (paused.received_count(), Instant::now());
+    paused.set_behaviour(FAST);
+    while paused_at.elapsed() < Duration::from_millis(1_300) {
+        assert_eq!(fixture.request("/lookup/1", "l").await, 200);
+        assert_eq!(paused.received_count(), received);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for _ in 0..200 {
+        fixture.request("/lookup/1", "l").await;
+    }
+    assert!(paused.received_count() > received, "the instance is used again");
+}
+
+/// Starts an instance that sends `start` and then `repeated` without end to each request, until its
+/// connection fails. Returns its address and the number of connections that were not closed yet.
+async fn start_endless_instance(
+    start: &'static str,
+    repeated: &'static str,
+) -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the socket is bound");
+    let open = Rc::<Cell<u32>>::default();
+    let count = Rc::clone(&open);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = Rc::clone(&count);
+            actix_rt::spawn(async move {
+                if !matches!(stream.read(&mut [0; 4_096]).await, Ok(1..)) {
+                    return;
+                }
+                count.set(count.get() + 1);
+                let mut next = start;
+                while stream.write_all(next.as_bytes()).await.is_ok() {
+                    next = repeated;
+                    tokio::task::yield_now().await;
+                }
+                count.set(count.get() - 1);
+            });
+        }
+    });
+    (address, open)
+}
+
+/// Guards against bytes without end that are no response, in a head or a body: they must neither hold
+/// their caller beyond its time nor the other requests of the host.
+#[actix_rt::test]
+async fn endless_bytes_end_with_their_attempt() {
+    const FILLER: &str =
+        "x-filler: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789ab\r\n";
+    let sealed = "HTTP/1.1 200 OK\r\nx-ebonytack-response-seal: 1\r\n\r\n";
+    let chunked = "HTTP/1.1 200 OK\r\nx-ebonytack-response-seal: 1\r\n\
+                   transfer-encoding: chunked\r\n\r\n5;";
+    let cases = [("HTTP/1.1 200 OK\r\n", FILLER), ("", FILLER), (sealed, FILLER), (chunked, "x")];
+    for (start, repeated) in cases {
+        let fixture = Fixture::start("endless", &[FAST, FAST]).await;
+        let (address, open) = start_endless_instance(start, repeated).await;
+        let endless = fixture.instances[0].registration_at(address, "stock", "ready");
+        fixture.store.put_instance("i-0", Some(endless));
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let mut statuses = Vec::new();
+        for number in 0..12 {
+            let (id, sent_at) = (format!("o-{number}"), Instant::now());
+            statuses.push(fixture.request("/order/1", &id).await);
+            assert!(sent_at.elapsed() < Duration::from_millis(2_300), "{start:?}: {statuses:?}");
+        }
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        assert!(served >= 8, "{start:?}: {statuses:?}");
+        let failed = statuses.iter().filter(|status| matches!(**status, 502 | 504)).count();
+        assert_eq!(served + failed, statuses.len(), "{start:?}: {statuses:?}");
+        assert!(failed > 0, "{start:?}: no order reached the endless instance");
+        let deadline = Instant::now() + Duration::from_secs(3);
+        while open.get() > 0 {
+            assert!(Instant::now() < deadline, "{start:?}: the connection is closed");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
 /// Waits until a host refuses the old key and accepts the new one, and returns how long it took.
 async fn wait_for_key(host: &HostProcess, old: &str, new: &str) -> Duration {
     let started_at = Instant::now();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -21,6 +21,14 @@
         /// Request whose caller disconnected.
         request: RequestId,
     },
+    /// The response of an attempt says something of its instance. Precedes the end of the attempt, so
+    /// that a retry takes it into account.
+    Notice {
+        /// Attempt from [`Effect::Send`](crate::Effect::Send).
+        attempt: AttemptId,
+        /// What the response says.
+        notice: InstanceNotice,
+    },
     /// An attempt ended.
     Attempt {
         /// Attempt from [`Effect::Send`](crate::Effect::Send).
@@ -82,6 +90,15 @@
     },
 }
 
+/// What a response says of the instance's availability to this host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct InstanceNotice {
+    /// Whether the instance prepares to exit and accepts no new requests.
+    pub leaving: bool,
+    /// Time for which the instance wants no requests from this host.
+    pub retry_after: Option<Duration>,
+}
+
 /// The properties of an upstream response that decisions depend on.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamResponse {
--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -9,7 +9,7 @@
 use super::requests::millis;
 use super::state::InstanceView;
 use crate::request::Attempt;
-use crate::{AttemptResult, Effect, Record, UpstreamResponse};
+use crate::{AttemptResult, Effect, InstanceNotice, Record, UpstreamResponse};
 
 /// Lowest status code that counts as a failure of the instance.
 const FAILURE_STATUS: u16 = 500;
@@ -62,6 +62,31 @@
         self.schedule_group_report();
     }
 
+    /// Takes into account what a response says of its instance.
+    pub(super) fn on_notice(&mut self, id: AttemptId, notice: InstanceNotice) {
+        let request = self.attempts.get(&id).and_then(|request| self.requests.get(request));
+        let attempts = request.map(|request| request.attempts.as_slice()).unwrap_or_default();
+        let Some(attempt) = attempts.iter().find(|attempt| attempt.id == id) else { return };
+        let instance = attempt.instance.clone();
+        let Some(process) = self.processes.get_mut(&instance) else { return };
+        let before = process.availability();
+        process.notice(notice, attempt.process_started_at_unix_ms, self.now);
+        let availability = process.availability();
+        if availability == before {
+            return;
+        }
+        if let Some(view) = self.instances.get_mut(&instance) {
+            view.availability = availability;
+        }
+        if availability.leaving != before.leaving {
+            self.record_instance(&instance);
+        }
+        if availability.paused_until > before.paused_until {
+            let for_ms = millis(availability.paused_until.saturating_sub(self.now));
+            self.record(Record::InstancePaused { instance, for_ms });
+        }
+    }
+
     fn take_attempt(&mut self, request: RequestId, id: AttemptId) -> Option<Attempt> {
         let active = self.requests.get_mut(&request)?;
         let position = active.attempts.iter().position(|attempt| attempt.id == id)?;
@@ -162,7 +187,7 @@
         if self.try_retry(request, uses_budget) || self.has_active_attempts(request) {
             return;
         }
-        let delay = self.with_jitter(RETRY_AFTER_REJECTION);
+        let delay = self.retry_delay(request, RETRY_AFTER_REJECTION);
         let sends = self.requests.get(&request).map_or(0, |active| active.sends);
         let input = format!("{sends} sends, none left");
         self.refuse(request, reason, Some(delay), input);
--- a/crates/gateway/src/gateway/known_process.rs
+++ b/crates/gateway/src/gateway/known_process.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::Instance;
+use crate::{Instance, InstanceNotice};
 
 /// Time for which a process is remembered after its entry was removed. Far longer than the store may
 /// take to perform a write that it has not acknowledged.
@@ -21,6 +21,16 @@
     earlier_start: Option<(Instance, Duration)>,
     /// When the entry was removed; `None` while there is one.
     removed_at: Option<Duration>,
+    availability: Availability,
+}
+
+/// What a process has said of its availability to this host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct Availability {
+    /// Whether it prepares to exit. Invariant: never false again.
+    pub(super) leaving: bool,
+    /// Time until which it wants no requests. Invariant: never decreases.
+    pub(super) paused_until: Duration,
 }
 
 impl KnownProcess {
@@ -31,14 +41,42 @@
             sequence: entry.sequence,
             earlier_start: None,
             removed_at: None,
+            availability: Availability::default(),
+        }
+    }
+
+    /// Returns what the process has said of its availability.
+    pub(super) fn availability(&self) -> Availability {
+        self.availability
+    }
+
+    /// Adds what a response said; `started_at_unix_ms` is the start of the process to which its
+    /// request was sent. An earlier process says nothing of its successor.
+    pub(super) fn notice(
+        &mut self,
+        notice: InstanceNotice,
+        started_at_unix_ms: u64,
+        now: Duration,
+    ) {
+        if started_at_unix_ms != self.started_at_unix_ms {
+            return;
         }
+        let availability = &mut self.availability;
+        availability.leaving |= notice.leaving;
+        let paused_until = now.saturating_add(notice.retry_after.unwrap_or_default());
+        availability.paused_until = availability.paused_until.max(paused_until);
     }
 
     /// Takes an entry into account and returns whether it is the newest one. The store may perform
     /// a write late, so an entry that arrives later may have been written earlier.
     pub(super) fn accept(&mut self, entry: &Instance, now: Duration) -> bool {
         if entry.written_order() >= (self.started_at_unix_ms, self.sequence) {
+            let is_same_process = entry.started_at_unix_ms == self.started_at_unix_ms;
+            let availability = self.availability;
             *self = Self::new(entry);
+            if is_same_process {
+                self.availability = availability;
+            }
             return true;
         }
         self.earlier_start = (entry.started_at_unix_ms < self.started_at_unix_ms)
--- a/crates/gateway/src/gateway/placement.rs
+++ b/crates/gateway/src/gateway/placement.rs
@@ -62,7 +62,7 @@
     /// response would probably be late.
     pub(super) fn place(&mut self, request: RequestId) {
         let Some(chosen) = self.choose_instance(request, Exploration::Sometimes) else {
-            let delay = self.with_jitter(RETRY_AFTER_NO_INSTANCE);
+            let delay = self.retry_delay(request, RETRY_AFTER_NO_INSTANCE);
             let input = "no instance is ready".to_owned();
             self.refuse(request, RefusalReason::NoInstance, Some(delay), input);
             return;
@@ -86,6 +86,20 @@
         self.refuse(request, RefusalReason::Overloaded, Some(delay), input);
     }
 
+    /// Returns the time after which the caller of a refused request may retry: `delay`, or longer while
+    /// all instances of the service that accept requests have asked for a pause.
+    pub(super) fn retry_delay(&mut self, request: RequestId, delay: Duration) -> Duration {
+        let service = self.requests.get(&request).and_then(|r| self.services.get(&r.service));
+        let instances = service.map(|service| service.instances.as_slice()).unwrap_or_default();
+        let accepting = instances
+            .iter()
+            .filter_map(|id| self.instances.get(id))
+            .filter(|view| view.accepts_requests());
+        let paused_until = accepting.map(|view| view.availability.paused_until).min();
+        let pause = paused_until.unwrap_or_default().saturating_sub(self.now);
+        self.with_jitter(delay.max(pause))
+    }
+
     /// Adds up to 50 % of random jitter to a retry delay, so that callers do not all retry at once.
     pub(super) fn with_jitter(&mut self, delay: Duration) -> Duration {
         delay.mul_f64(1.0 + self.random.next_f64() / 2.0)
@@ -108,7 +122,7 @@
         let mut candidates = Vec::with_capacity(service.instances.len());
         for (position, id) in service.instances.iter().enumerate() {
             let Some(view) = self.instances.get(id) else { continue };
-            let usable = view.instance.state == InstanceState::Ready && !view.address_reused;
+            let usable = view.accepts_requests() && now >= view.availability.paused_until;
             if !usable || active.tried.contains(id) {
                 continue;
             }
@@ -221,6 +235,7 @@
         active.attempts.push(Attempt {
             id: attempt,
             instance: chosen.id.clone(),
+            process_started_at_unix_ms: view.instance.started_at_unix_ms,
             started_at: now,
             load: chosen.candidate.in_flight / slots,
             overdue: false,
@@ -261,6 +276,13 @@
 }
 
 impl InstanceView {
+    /// Returns whether the instance accepts requests, now or after a pause that it has asked for.
+    fn accepts_requests(&self) -> bool {
+        self.instance.state == InstanceState::Ready
+            && !self.address_reused
+            && !self.availability.leaving
+    }
+
     fn reported_load(&self, now: Duration) -> f64 {
         let recent = self.reported_load.filter(|(_, at)| now < *at + REPORTED_LOAD_TTL);
         recent.map_or(0.0, |(load, _)| f64::from(load))
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -9,7 +9,7 @@
     Timers,
 };
 
-use super::known_process::KnownProcess;
+use super::known_process::{Availability, KnownProcess};
 use crate::balance::{LongTermAttemptStats, RecentAttemptStats};
 use crate::fleet::Fleet;
 use crate::limits::SharedBucket;
@@ -72,6 +72,8 @@
     pub(super) instance: Instance,
     /// End of the time for which the instance is slow after its start.
     pub(super) warming_up_until: Duration,
+    /// What the process behind the entry has said of its availability.
+    pub(super) availability: Availability,
     /// Whether the instance stays in use for now although its entry was removed.
     pub(super) without_entry: bool,
     /// Whether another instance responded at the address since the entry last changed.
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -30,6 +30,7 @@
         match event {
             Event::Request { request, incoming } => self.on_request(request, incoming),
             Event::CallerDisconnected { request } => self.on_caller_disconnected(request),
+            Event::Notice { attempt, notice } => self.on_notice(attempt, notice),
             Event::Attempt { attempt, result } => self.on_attempt(attempt, result),
             Event::Configuration(configuration) => self.on_configuration(*configuration),
             Event::AllInstances(instances) => self.on_all_instances(instances),
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -6,7 +6,7 @@
 use ebonytack_core::InstanceId;
 
 use super::Gateway;
-use super::known_process::KnownProcess;
+use super::known_process::{Availability, KnownProcess};
 use super::state::{InstanceView, TimerEvent};
 use crate::balance::{LongTermAttemptStats, RecentAttemptStats};
 use crate::report::short_id;
@@ -75,6 +75,8 @@
         let now = self.now;
         let warming_up_until = now.saturating_add(instance.warm_up_left);
         let id = instance.id.clone();
+        let availability =
+            self.processes.get(&id).map(KnownProcess::availability).unwrap_or_default();
         match self.instances.get_mut(&id) {
             Some(view) if view.instance.is_same_process(&instance) => {
                 let changed = view.instance.state != instance.state || view.without_entry;
@@ -89,7 +91,8 @@
             _ => {
                 self.remove_instance(&id);
                 self.service(&instance.service.clone()).instances.push(id.clone());
-                self.instances.insert(id.clone(), InstanceView::new(instance, warming_up_until));
+                let view = InstanceView::new(instance, warming_up_until, availability);
+                self.instances.insert(id.clone(), view);
                 self.record_instance(&id);
             }
         }
@@ -144,9 +147,10 @@
         }
     }
 
-    fn record_instance(&mut self, id: &InstanceId) {
+    pub(super) fn record_instance(&mut self, id: &InstanceId) {
         let Some(view) = self.instances.get(id) else { return };
         let state = match view.instance.state {
+            _ if view.availability.leaving => "leaving",
             _ if view.without_entry => "held",
             InstanceState::Ready => "ready",
             InstanceState::Draining => "draining",
@@ -205,11 +209,12 @@
 }
 
 impl InstanceView {
-    fn new(instance: Instance, warming_up_until: Duration) -> Self {
+    fn new(instance: Instance, warming_up_until: Duration, availability: Availability) -> Self {
         Self {
             short_id: short_id(&instance.id),
             instance,
             warming_up_until,
+            availability,
             without_entry: false,
             address_reused: false,
             in_flight: 0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use configuration::{CallerLimits, Configuration, Customer, Route, ServiceSpec, Target};
 pub use effect::Effect;
-pub use event::{AttemptResult, Event, UpstreamResponse};
+pub use event::{AttemptResult, Event, InstanceNotice, UpstreamResponse};
 pub use fleet::Member;
 pub use gateway::{Gateway, GatewaySettings};
 pub use instance::{Instance, InstanceState};
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -120,7 +120,7 @@
         instance: InstanceId,
         /// Service that the instance provides.
         service: ServiceId,
-        /// `ready`, `draining`, `gone`, or `held` for an instance that stays in use although its
+        /// `ready`, `draining`, `gone`, `leaving` for one that said so in a response, or `held` for an instance that stays in use although its
         /// entry was removed during or shortly after an outage of the store.
         state: &'static str,
     },
@@ -133,6 +133,13 @@
         /// Number of the ignored entry among those of its process.
         sequence: u64,
     },
+    /// An instance asked this host in a response to send no requests for some time.
+    InstancePaused {
+        /// Name of the instance, as registered in the store.
+        instance: InstanceId,
+        /// Time for which it wants no requests, in milliseconds.
+        for_ms: u64,
+    },
     /// The failure probability of an instance crossed the threshold for avoiding it.
     InstanceAvoided {
         /// Instance whose failure probability changed.
@@ -180,6 +187,7 @@
             Self::ConfigurationInForce { .. } | Self::ConfigurationIgnored { .. } => "config",
             Self::InstanceChanged { .. }
             | Self::InstanceEntryIgnored { .. }
+            | Self::InstancePaused { .. }
             | Self::InstanceAvoided { .. } => "health",
             Self::FleetHeard { .. } => "fleet",
             Self::Store { .. } => "store",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,6 +56,8 @@
 pub(crate) struct Attempt {
     pub(crate) id: AttemptId,
     pub(crate) instance: InstanceId,
+    /// Start of the process that the instance's entry named when the attempt started.
+    pub(crate) process_started_at_unix_ms: u64,
     pub(crate) started_at: Duration,
     /// Requests in flight per slot of the instance when the attempt started.
     pub(crate) load: f64,
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod customers;
 mod fleet;
 mod groups;
+mod notices;
 mod placement;
 mod sources;
 mod store;
