fix(gateway): let the estimated service time fade without evidence

Cause: the estimate is corrected by responses only. Above the admission limit of every route it refuses the requests whose responses could correct it.

Ruled out: reports of other hosts (a test on one host shows it), failure counts (they decay by themselves).

Change: without an attempt or a response for 2 s the estimate falls to its initial value with a half-life of 1 s. The estimate is a type of its own.

--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -15,10 +15,6 @@
 const FAILURE_STATUS: u16 = 500;
 /// Status codes from which callers conclude that their request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-/// Weight of a new sample in the moving average of the service time.
-const SERVICE_TIME_WEIGHT: f64 = 0.05;
-/// Upper limit of a service time sample, as a multiple of the current average.
-const SERVICE_TIME_RATIO_MAX: f64 = 4.0;
 /// Number of failures counted for an overdue attempt.
 const OVERDUE_FAILURES: f64 = 0.5;
 /// Number of failures counted when another instance listens at the address: enough for other hosts
@@ -134,10 +130,9 @@
     fn update_service_time(&mut self, request: RequestId, attempt: &Attempt, latency: Duration) {
         let Some(active) = self.requests.get(&request) else { return };
         let service = active.service.clone();
-        let view = self.service(&service);
-        let sample = latency.as_secs_f64() / attempt.load.max(1.0);
-        let bounded = sample.min(view.service_time_s * SERVICE_TIME_RATIO_MAX);
-        view.service_time_s += (bounded - view.service_time_s) * SERVICE_TIME_WEIGHT;
+        let sample_s = latency.as_secs_f64() / attempt.load.max(1.0);
+        let now = self.now;
+        self.service(&service).service_time.add_sample(sample_s, now);
     }
 
     fn on_response(&mut self, request: RequestId, attempt: &Attempt, response: UpstreamResponse) {
--- a/crates/gateway/src/gateway/customers.rs
+++ b/crates/gateway/src/gateway/customers.rs
@@ -9,6 +9,7 @@
 use super::state::ServiceView;
 use crate::limits::{SharedBucket, SharedRate};
 use crate::report::short_id;
+use crate::service_time::ServiceTime;
 
 /// Bounds of the retry delay for callers whose customer is above its rate, before jitter. Between
 /// them the delay is the time until the bucket holds one token.
@@ -20,8 +21,6 @@
 const REPORT_DELAY_S: f64 = 0.3;
 /// Expected surge of a customer's demand, as a multiple of its rate.
 const SURGE_FACTOR: f64 = 6.0;
-/// Service time assumed before the first response, in seconds.
-const INITIAL_SERVICE_TIME_S: f64 = 0.25;
 
 /// Rate limits of customers.
 impl Gateway {
@@ -87,7 +86,7 @@
 impl Gateway {
     pub(super) fn service(&mut self, id: &str) -> &mut ServiceView {
         self.services.entry(id.to_owned()).or_insert_with(|| ServiceView {
-            service_time_s: INITIAL_SERVICE_TIME_S,
+            service_time: ServiceTime::default(),
             retry_budget: SharedBucket::default(),
             instances: Vec::new(),
         })
--- a/crates/gateway/src/gateway/placement.rs
+++ b/crates/gateway/src/gateway/placement.rs
@@ -118,6 +118,7 @@
         let time_to_target = active.target_at.saturating_sub(now);
         let service_id = active.service.clone();
         let service = self.services.get(&service_id)?;
+        let service_time_s = service.service_time.estimate_s(now);
         let mut positions = Vec::with_capacity(service.instances.len());
         let mut candidates = Vec::with_capacity(service.instances.len());
         for (position, id) in service.instances.iter().enumerate() {
@@ -144,7 +145,7 @@
             candidates.push(Candidate {
                 in_flight: in_flight.max(view.reported_load(now)),
                 slots: f64::from(view.instance.slots),
-                service_time_s: service.service_time_s,
+                service_time_s,
                 failure_probability: probability,
                 same_data_centre: view.instance.data_centre == self.settings.data_centre,
                 warming_up: now < view.warming_up_until,
@@ -241,6 +242,9 @@
             overdue: false,
         });
         active.tried.push(chosen.id.clone());
+        if let Some(service) = self.services.get_mut(&active.service) {
+            service.service_time.start_attempt(now);
+        }
         active.runs += 1;
         active.sends += 1;
         self.attempts.insert(attempt, request);
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use crate::limits::SharedBucket;
 use crate::report::ShortId;
 use crate::request::ActiveRequest;
+use crate::service_time::ServiceTime;
 use crate::{Configuration, Effect, Instance, ReadPeers, Record};
 
 /// The identity of a host and the limits that the platform sets for its fleet.
@@ -99,8 +100,7 @@
 /// A service with its instances and its retry budget.
 #[derive(Debug)]
 pub(super) struct ServiceView {
-    /// Average duration of a request on an idle instance, in seconds.
-    pub(super) service_time_s: f64,
+    pub(super) service_time: ServiceTime,
     /// Tokens for retries, shared by all hosts; the bucket's demand is the rate of requests.
     pub(super) retry_budget: SharedBucket,
     pub(super) instances: Vec<InstanceId>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod record;
 mod report;
 mod request;
+mod service_time;
 mod source;
 mod table;
 
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod groups;
 mod notices;
 mod placement;
+mod recovery;
 mod sources;
 mod store;
 mod support;
