refactor(gateway): remember a process while its instance is in use

An instance whose entry was removed in an outage of the store of more than five minutes stays in use, but what it had said of its availability was forgotten. Read in the code, not seen. The service time is internal to the crate.

--- a/crates/gateway/src/gateway/known_process.rs
+++ b/crates/gateway/src/gateway/known_process.rs
@@ -11,7 +11,8 @@
 /// that is alive writes its entry again much sooner, so the entry is not that of an ended process.
 const EARLIER_START_WAIT: Duration = Duration::from_secs(30);
 
-/// The newest process of one instance id that the host knows of.
+/// The newest process of one instance id that the host knows of. A host keeps it while the instance
+/// is in use, and longer.
 #[derive(Debug)]
 pub(super) struct KnownProcess {
     started_at_unix_ms: u64,
@@ -99,7 +100,7 @@
         Some(entry)
     }
 
-    /// Returns whether the process can be forgotten.
+    /// Returns whether the process can be forgotten, unless the instance is still in use.
     pub(super) fn is_expired(&self, now: Duration) -> bool {
         self.removed_at.is_some_and(|at| now >= at + REMEMBERED_TIME)
     }
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -190,7 +190,8 @@
         let now = self.now;
         self.timers.arm(now + HOUSEKEEPING_INTERVAL, TimerEvent::Housekeeping);
         self.fleet.prune(now);
-        self.processes.retain(|_, process| !process.is_expired(now));
+        let instances = &self.instances;
+        self.processes.retain(|id, process| instances.contains_key(id) || !process.is_expired(now));
         let earlier_starts: Vec<Instance> = self
             .processes
             .values_mut()
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -120,8 +120,9 @@
         instance: InstanceId,
         /// Service that the instance provides.
         service: ServiceId,
-        /// `ready`, `draining`, `gone`, `leaving` for one that said so in a response, or `held` for an instance that stays in use although its
-        /// entry was removed during or shortly after an outage of the store.
+        /// `ready`, `draining`, `gone`, `leaving` for an instance that said so in a response, or `held`
+        /// for one that stays in use although its entry was removed during or shortly after an outage
+        /// of the store.
         state: &'static str,
     },
     /// An entry of an instance was ignored because the host has seen a newer one.
--- a/crates/gateway/src/service_time.rs
+++ b/crates/gateway/src/service_time.rs
@@ -21,7 +21,7 @@
 
 /// The average duration of a request on an idle instance of a service.
 #[derive(Clone, Copy, Debug)]
-pub struct ServiceTime {
+pub(crate) struct ServiceTime {
     /// Average as of `evidence_at`, in seconds.
     average_s: f64,
     /// When the host last started an attempt on the service or received a response to one.
@@ -36,7 +36,7 @@
 
 impl ServiceTime {
     /// Returns the estimate, in seconds.
-    pub fn estimate_s(&self, now: Duration) -> f64 {
+    pub(crate) fn estimate_s(&self, now: Duration) -> f64 {
         let unproven = now.saturating_sub(self.evidence_at).saturating_sub(EVIDENCE_TTL);
         let excess_s = (self.average_s - INITIAL_S).max(0.0);
         let half_lives = unproven.as_secs_f64() / FADE_HALF_LIFE.as_secs_f64();
@@ -44,13 +44,13 @@
     }
 
     /// Records that an attempt was started, whose response will correct the estimate.
-    pub fn start_attempt(&mut self, now: Duration) {
+    pub(crate) fn start_attempt(&mut self, now: Duration) {
         self.average_s = self.estimate_s(now);
         self.evidence_at = now;
     }
 
     /// Adds the duration of a request, in seconds and divided by the load of its instance.
-    pub fn add_sample(&mut self, sample_s: f64, now: Duration) {
+    pub(crate) fn add_sample(&mut self, sample_s: f64, now: Duration) {
         let average_s = self.estimate_s(now);
         let bounded_s = sample_s.min(average_s * SAMPLE_RATIO_MAX);
         self.average_s = average_s + (bounded_s - average_s) * SAMPLE_WEIGHT;
