fix(gateway): admit first requests without a token within the rate only

Cause: each host admits a customer's first request without a token, since a host that has just started hears few others. With 45 hosts and a customer far above its rate these are up to 45 requests a restart.

Ruled out: the tokens that a new bucket starts with (0.6 s of the rate, times the share of hosts heard).

Change: the first request needs no token only while the known demand is within the rate.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -23,6 +23,10 @@
 /// Share of a full bucket at or above which all requests are admitted, without random rejection.
 const ADMIT_ALL_LEVEL_SHARE: f64 = 0.5;
 
+/// Known demand up to which the first request is admitted whatever the rate, in requests per second: two
+/// requests within `DEMAND_TIME_CONSTANT`.
+const FIRST_REQUEST_DEMAND_MIN: f64 = 2.0 / 0.6;
+
 /// Minimum time from the end of a process to the first request of its successor, in seconds.
 const RESTART_TIME_MIN_S: f64 = 0.6;
 
@@ -145,10 +149,11 @@
         self.refill(rate, live_share, now);
         let granted = rate.per_second * GRANTED_SHARE * live_share;
         let full = rate.burst * live_share;
-        // The first request is always admitted. A host that has just started has reports of few
-        // others, and in a newly started fleet all hosts would reject customers that are far below
-        // their rate.
-        let first = !std::mem::replace(&mut self.used, true);
+        // The first request needs no token unless the known demand is above the rate. A host that has
+        // just started has reports of few others, and in a newly started fleet all hosts would reject
+        // customers that are far below their rate.
+        let within_rate = fleet_demand <= rate.per_second.max(FIRST_REQUEST_DEMAND_MIN);
+        let first = !std::mem::replace(&mut self.used, true) && within_rate;
         let admitted = if first {
             true
         } else if full < 1.0 {
--- a/crates/gateway/tests/suite/groups.rs
+++ b/crates/gateway/tests/suite/groups.rs
@@ -9,7 +9,7 @@
 use ebonytack_gateway::{Customer, Effect, Event, Gateway, Member, Record, Report};
 use quickcheck::{QuickCheck, TestResult};
 
-use crate::support::{configuration, instance, response, settings};
+use crate::support::{attempts, configuration, instance, response, settings};
 
 const KEY: &str = "club-key";
 const TICK: Duration = Duration::from_millis(5);
@@ -162,6 +162,54 @@
         (attempt, instance, load.expect("the placement is recorded"))
     }
 
+    /// Ends the processes of all hosts and starts them again after `outage`.
+    fn restart_all(&mut self, outage: Duration) {
+        self.now += outage;
+        self.in_transit.clear();
+        let members: Vec<Member> = self.hosts.iter().map(|(member, _)| member.clone()).collect();
+        let configuration =
+            self.hosts[0].1.configuration().expect("a configuration is in force").clone();
+        for (host, member) in members.iter().enumerate() {
+            let mut settings = settings(&member.name);
+            settings.address = member.address;
+            settings.data_centre.clone_from(&member.data_centre);
+            settings.incarnation = self.now.as_millis() as u64;
+            self.hosts[host].1 = Gateway::new(settings);
+            self.step(host, Event::Configuration(Box::new(configuration.clone())));
+            self.step(host, Event::AllInstances((0..8).map(instance).collect()));
+            self.step(host, Event::AllMembers(members.clone()));
+        }
+    }
+
+    /// Sends `per_second` requests a second to random hosts, whose instances respond at once. Appends
+    /// the times of those that reached an instance.
+    fn send_requests(&mut self, per_second: f64, time: Duration, runs: &mut Vec<Duration>) -> u32 {
+        let (end, mut sent) = (self.now + time, 0);
+        while self.now < end {
+            self.advance(TICK);
+            if self.random.next_f64() >= per_second * TICK.as_secs_f64() {
+                continue;
+            }
+            sent += 1;
+            let host = self.random.below(self.hosts.len());
+            let request = self.next_request;
+            self.next_request += 1;
+            let incoming = ebonytack_gateway::IncomingRequest {
+                caller_request_id: format!("caller-{request}"),
+                host: crate::support::HOST.to_owned(),
+                path: "/order/1".to_owned(),
+                key: self.keys.first().cloned(),
+                timeout: Some(Duration::from_secs(2)),
+            };
+            let effects = self.step(host, Event::Request { request, incoming });
+            for (attempt, _) in attempts(&effects) {
+                runs.push(self.now);
+                self.step(host, Event::Attempt { attempt, result: response(200, true) });
+            }
+        }
+        sent
+    }
+
     /// Returns the number of hosts that a host has last heard of, itself included.
     fn heard(&self, host: usize) -> u32 {
         let heard = self.records[host].iter().rev().find_map(|record| match record {
@@ -438,3 +486,60 @@
     }
     QuickCheck::new().tests(40).quickcheck(holds as fn(u64, u8, u8, u8, Vec<u8>) -> TestResult);
 }
+
+/// Returns the most runs within any five seconds.
+fn most_in_window(runs: &[Duration]) -> usize {
+    let in_window = |start: &Duration| {
+        runs.iter().filter(|at| **at >= *start && **at < *start + Duration::from_secs(5)).count()
+    };
+    runs.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// A fleet of 45 hosts with one customer of 10 requests a second and a burst of 46.
+fn fleet_with_a_customer(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(3, 15, 8, seed);
+    cluster.keys = vec!["hot-key".to_owned()];
+    let mut next = configuration(2);
+    let hot = Customer { priority: None, rate_per_second: Some(10.0), burst: 46.0 };
+    next.add_customer("hot".to_owned(), hot, vec!["hot-key".to_owned()]);
+    for host in 0..cluster.hosts.len() {
+        cluster.step(host, Event::Configuration(Box::new(next.clone())));
+    }
+    cluster.advance(SETTLED);
+    cluster
+}
+
+/// Load pattern: a customer sends ten times its rate while all hosts restart twice within a window.
+/// Guards against hosts that each grant it a request before they know what the others have granted.
+#[test]
+fn restarts_of_all_hosts_do_not_raise_the_rate_of_a_customer() {
+    // The platform's bound: the rate and the burst, a tenth more, and 20 requests.
+    let allowed = ((10.0 * 5.0 + 46.0) * 1.1 + 20.0) as usize;
+    for seed in 1..=10 {
+        let mut cluster = fleet_with_a_customer(seed);
+        let mut runs = Vec::new();
+        let outage = Duration::from_millis(500 + 40 * seed);
+        cluster.send_requests(100.0, Duration::from_millis(1_200), &mut runs);
+        cluster.restart_all(outage);
+        cluster.send_requests(100.0, Duration::from_millis(1_100), &mut runs);
+        cluster.restart_all(outage);
+        cluster.send_requests(100.0, Duration::from_millis(4_000), &mut runs);
+        let most = most_in_window(&runs);
+        assert!(most <= allowed, "seed {seed}: {most} requests in 5 s, {allowed} are allowed");
+    }
+}
+
+/// The other side: a customer within its rate loses less than a hundredth by a restart of all hosts.
+#[test]
+fn customer_within_its_rate_is_served_over_a_restart_of_all_hosts() {
+    let (mut sent, mut served) = (0, 0);
+    for seed in 1..=10 {
+        let mut cluster = fleet_with_a_customer(seed);
+        let mut runs = Vec::new();
+        sent += cluster.send_requests(8.0, Duration::from_secs(5), &mut runs);
+        cluster.restart_all(Duration::from_millis(600));
+        sent += cluster.send_requests(8.0, Duration::from_secs(20), &mut runs);
+        served += runs.len();
+    }
+    assert!(served as f64 >= 0.99 * f64::from(sent), "{served} of {sent}");
+}
