fix(gateway): keep the bucket of a customer that a configuration drops

Cause: the bucket was discarded with the customer.

Change: it is kept for 60 s after its last use.

Test: customer_that_is_dropped_and_restored_has_no_full_bucket failed before (141 admitted, 48 allowed).

--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -15,6 +15,10 @@
 /// Time between two checks for expired members and decayed counts.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time for which the bucket of a customer that a configuration has dropped is kept, since a later one
+/// may restore the customer. Much longer than any window in which requests are counted.
+const DROPPED_CUSTOMER_TTL: Duration = Duration::from_secs(60);
+
 /// Configuration changes.
 impl Gateway {
     /// Puts a configuration into force. Older revisions are ignored, so that an accepted change is
@@ -35,7 +39,10 @@
             customers: configuration.customers.len() as u64,
         });
         let customers = &configuration.customers;
-        self.customers.retain(|id, _| customers.contains_key(id));
+        let now = self.now;
+        self.customers.retain(|id, bucket| {
+            customers.contains_key(id) || now < bucket.changed_at() + DROPPED_CUSTOMER_TTL
+        });
         self.customer_ids = customers.keys().map(|id| (short_id(id), id.clone())).collect();
         self.configuration = Some(configuration);
     }
--- a/crates/gateway/tests/suite/customers.rs
+++ b/crates/gateway/tests/suite/customers.rs
@@ -6,7 +6,7 @@
 use ebonytack_gateway::{Event, SharedBucket, SharedRate};
 use quickcheck::{QuickCheck, TestResult};
 
-use crate::support::{Harness, member, response};
+use crate::support::{Harness, configuration, member, response};
 
 #[test]
 fn customer_within_its_rate_is_admitted() {
@@ -63,6 +63,31 @@
     assert!(f64::from(admitted) <= (35.0 * 1.1 + 20.0) / 10.0 + 1.0, "{admitted}");
 }
 
+/// Guards against a full bucket for a customer that one configuration drops and the next one restores.
+#[test]
+fn customer_that_is_dropped_and_restored_has_no_full_bucket() {
+    let mut harness = Harness::new(3);
+    harness.advance(Duration::from_secs(10));
+    let mut admitted = 0;
+    for revision in 1..=8 {
+        for _ in 0..40 {
+            harness.send_request("/order/1", Some("bar-key"));
+            for (attempt, _) in harness.attempts() {
+                admitted += 1;
+                harness.finish(attempt, response(200, true));
+            }
+        }
+        let mut without = configuration(revision * 2);
+        without.customers.remove("bar");
+        harness.step(Event::Configuration(Box::new(without)));
+        harness.advance(Duration::from_millis(200));
+        harness.step(Event::Configuration(Box::new(configuration(revision * 2 + 1))));
+        harness.advance(Duration::from_millis(200));
+    }
+    // 5 requests per second for 3.2 s and a burst of 10, plus the tolerance of 10 % and 20 requests.
+    assert!(admitted <= (26.0f64 * 1.1 + 20.0) as u32, "{admitted}");
+}
+
 #[test]
 fn newly_started_host_admits_customer_far_below_its_rate() {
     let mut harness = Harness::new(3);
