test: split the tests of host processes and of clusters by area

Change: fixtures, shutdown, faulty instances and restarts are files of their own; instances that write raw bytes and odd entries are in the stand-ins of platform/. Ruled out: a shared fixture crate, since only one package uses it.

--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the binary: settings validation, and hosts in `gateway` mode.
 
 mod gateway;
+mod host;
+mod instances;
+mod stopping;
 
 use std::path::PathBuf;
 use std::process::{Command, Output};
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,12 +1,14 @@
 //! Tests of the reducer of one host.
 
 mod attempts;
+mod cluster;
 mod customers;
 mod fleet;
 mod groups;
 mod notices;
 mod placement;
 mod recovery;
+mod restarts;
 mod sources;
 mod store;
 mod support;
