fix(gateway): do not take an earlier failure of the store for an outage at a hand-over

Cause: a failed call set `store_unreachable`, and only a successful call of the same host cleared it. A host that reads from another one makes no calls, so the failure stood for good. When the other host fell silent, one follower called the store, the two others got no source, and that alone was reported as an outage of the store. Entries that are removed after an outage are kept for 1.8 s. The tests below tell it from a late notice of the silent host: only what concerns the suspicion changes, and the delay falls below 2 s.

Change: - a failure of the store counts for 3 s, longer than two probes of an unreachable store are apart; - no source is an outage only if the last call to the store failed, not while a probe is under way; - the probe does not wait for changes, so that it answers at once; - 410 of the store ends the suspicion as well: it was another response that did not; - a host tells others of the end of an outage only if it has seen one. It told them of the end of its own suspicion, and they kept removed instances too.

Tests: `host_that_lost_the_store_before_stops_using_a_removed_instance_after_a_hand_over` (host processes) failed before, "used 2.586340618s after its entry was removed", and passes. The tests on the selector fail where an outage is reported during a probe (2 of them) or a failure never expires (1). The change of `sources.rs` in the reducer's tests follows the type of `choose`; what it checks stays.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -165,10 +165,10 @@
         match self.version {
             None => self.shell.store.read_all(self.table).await,
             Some(version) => {
-                // While the tables are unreachable, a call without a wait shows at once whether the
-                // store responds again.
-                let unreachable = self.clients.is_unreachable();
-                let wait = if unreachable { Duration::ZERO } else { store_wait(self.table) };
+                // After a failure, a call without a wait shows at once whether the store responds
+                // again.
+                let suspected = self.clients.is_store_suspected(&self.shell);
+                let wait = if suspected { Duration::ZERO } else { store_wait(self.table) };
                 self.shell.store.wait_for_changes(self.table, version, wait).await
             }
         }
@@ -244,6 +244,7 @@
                 "store: the change history of {:?} is gone; all rows are read again.",
                 self.table
             );
+            self.clients.on_response(source);
             self.version = None;
             return Duration::ZERO;
         }
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -51,7 +51,7 @@
     pub(super) pool: Pool,
     pub(super) store: StoreClient,
     copies: TableCopies,
-    /// When the store last began to respond to this host again after an outage.
+    /// When the last outage of the store ended that this host has seen.
     store_reachable_since: Cell<Option<Instant>>,
     reports: ReportSocket,
     pub(super) log: LogQueue,
@@ -119,9 +119,11 @@
         self.gateway.borrow().read_peers(self.started_at.elapsed())
     }
 
-    /// Records that the store responds to this host again.
-    pub(super) fn note_store_reachable(&self) {
-        self.store_reachable_since.set(Some(Instant::now()));
+    /// Records how long ago an outage of the store ended that this host has seen; `None` if only this
+    /// host could not reach the store.
+    pub(super) fn set_store_reachable_for(&self, reachable_for: Option<Duration>) {
+        let since = reachable_for.and_then(|time| Instant::now().checked_sub(time));
+        self.store_reachable_since.set(since);
     }
 
     /// Returns the time since the store's last outage ended, or `None` when this host has seen
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -8,7 +8,7 @@
 
 use ebonytack_adapter::{ProofSigner, StoreClient};
 use ebonytack_core::Random;
-use ebonytack_gateway::{Changes, Event, Source, SourceSelector};
+use ebonytack_gateway::{Changes, Event, NoSource, Source, SourceSelector};
 
 use super::shell::GatewayShell;
 
@@ -32,19 +32,21 @@
         }
     }
 
-    /// Returns the source to read from now. When there is none, the tables are unreachable and the
-    /// error holds the time to wait before the next attempt.
+    /// Returns the source to read from now. When there is none, the error holds the time to wait
+    /// before the next attempt.
     pub(super) fn choose(&self, shell: &Rc<GatewayShell>) -> Result<Source, Duration> {
         let chosen = self.selector.borrow_mut().choose(&shell.read_peers(), shell.uptime());
-        if chosen.is_err() && !self.unreachable.replace(true) {
-            shell.feed(Event::StoreUnreachable);
-        }
-        chosen
+        chosen.map_err(|NoSource { wait, is_outage }| {
+            if is_outage && !self.unreachable.replace(true) {
+                shell.feed(Event::StoreUnreachable);
+            }
+            wait
+        })
     }
 
-    /// Returns whether the tables are unreachable.
-    pub(super) fn is_unreachable(&self) -> bool {
-        self.unreachable.get()
+    /// Returns whether it is in doubt that the store responds to this host.
+    pub(super) fn is_store_suspected(&self, shell: &GatewayShell) -> bool {
+        self.unreachable.get() || self.selector.borrow().is_store_suspected(shell.uptime())
     }
 
     /// Returns the client for reading from another host, created at first use.
@@ -56,23 +58,26 @@
         Rc::clone(client)
     }
 
-    /// Records that a source responded.
+    /// Records that a source returned rows.
     pub(super) fn on_success(&self, shell: &Rc<GatewayShell>, source: Source, changes: &Changes) {
-        if self.selector.borrow_mut().on_success(source) {
-            shell.note_store_reachable();
-        }
+        self.on_response(source);
         if self.unreachable.replace(false) {
             let reachable_for = match source {
-                // When this host has seen no outage of the store, the store counts as reachable
-                // from now.
-                Source::Store => shell.store_reachable_for().unwrap_or_default(),
+                Source::Store => Some(Duration::ZERO),
                 // A host that has seen no outage of the store sends no time.
-                Source::Peer(_) => changes.store_reachable_for.unwrap_or(Duration::MAX),
+                Source::Peer(_) => changes.store_reachable_for,
             };
+            shell.set_store_reachable_for(reachable_for);
+            let reachable_for = reachable_for.unwrap_or(Duration::MAX);
             shell.feed(Event::StoreReachable { reachable_for });
         }
     }
 
+    /// Records that a source responded, also without rows.
+    pub(super) fn on_response(&self, source: Source) {
+        self.selector.borrow_mut().on_success(source);
+    }
+
     /// Records that a source responded but cannot serve the tables at present: a host that does not
     /// read the store, or a source that is behind what this host has read.
     pub(super) fn on_refusal(&self, shell: &GatewayShell, source: Source) {
--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod host;
 mod instances;
 mod limits;
+mod sources;
 mod stopping;
 
 use std::path::PathBuf;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,7 +44,7 @@
     AdmissionRequest, LevelState, RequestClasses, RetryCause, RetryRequest, RouteWork, ServiceLoad,
     ShortageLevel, Verdict, admitted_share, required_tokens,
 };
-pub use source::{ReadPeers, Source, SourceSelector};
+pub use source::{NoSource, ReadPeers, Source, SourceSelector};
 pub use table::{Changes, CopyError, CopyResponse, Row, TableCopy};
 pub use trial::{Evidence, FleetPosition, Subject, Trials};
 pub use warm_up::WarmUpLimit;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -23,6 +23,10 @@
 /// Maximum backoff for the store on a host that at least `PEERS_TRIED_MAX` peers precede by name;
 /// they already retry the store.
 const STORE_BACKOFF_WITH_PEERS: Duration = Duration::from_millis(1_500);
+/// How long a failed call shows that this host cannot reach the store. A host that reads from another
+/// one makes no calls that could show the opposite. Longer than the time between two probes of an
+/// unreachable store.
+const STORE_FAILURE_TTL: Duration = Duration::from_secs(3);
 
 /// Where a host reads the store's tables.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -42,55 +46,98 @@
     pub following: Vec<SocketAddr>,
 }
 
+/// No source may be used at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NoSource {
+    /// Time until a source may be used.
+    pub wait: Duration,
+    /// Whether the store has failed, and no other host serves its tables. It is not known while a call
+    /// probes the store.
+    pub is_outage: bool,
+}
+
 /// Chooses the source for each read and backs off from sources that failed.
 #[derive(Debug)]
 pub struct SourceSelector {
     random: Random,
-    backoff_until: BTreeMap<Source, Duration>,
-    /// Whether this host's last call to the store failed.
-    store_unreachable: bool,
+    backoffs: BTreeMap<Source, Backoff>,
+    /// When this host's last call to the store failed; `None` if it succeeded.
+    store_failed_at: Option<Duration>,
+}
+
+/// A source that is not used for some time.
+#[derive(Clone, Copy, Debug)]
+struct Backoff {
+    until: Duration,
+    cause: BackoffCause,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BackoffCause {
+    /// The source did not respond, or returned an error.
+    Failure,
+    /// The source responded but cannot serve the tables.
+    Refusal,
+    /// Another call to the store is under way and shows whether it is reachable again.
+    Probe,
 }
 
 impl SourceSelector {
     /// Creates a selector without any backoff; `random` spreads the backoffs.
     pub fn new(random: Random) -> Self {
-        Self { random, backoff_until: BTreeMap::new(), store_unreachable: false }
+        Self { random, backoffs: BTreeMap::new(), store_failed_at: None }
     }
 
-    /// Returns the source to read from now, or how long to wait until one is available.
-    pub fn choose(&mut self, read_peers: &ReadPeers, now: Duration) -> Result<Source, Duration> {
+    /// Returns the source to read from now.
+    ///
+    /// # Errors
+    ///
+    /// [`NoSource`] while all sources have a backoff.
+    pub fn choose(&mut self, read_peers: &ReadPeers, now: Duration) -> Result<Source, NoSource> {
+        let store_suspected = self.is_store_suspected(now);
         let first_peers = |peers: &[SocketAddr]| {
             let first = peers.iter().take(PEERS_TRIED_MAX);
             first.copied().map(Source::Peer).collect::<Vec<_>>()
         };
         let mut order = first_peers(&read_peers.preceding);
         order.push(Source::Store);
-        if self.store_unreachable {
+        if store_suspected {
             order.extend(first_peers(&read_peers.following));
         }
         let backoff_left = |source: &Source| {
             // A source without an entry has no backoff.
-            let until = self.backoff_until.get(source).copied().unwrap_or_default();
+            let until = self.backoffs.get(source).map(|backoff| backoff.until).unwrap_or_default();
             until.saturating_sub(now)
         };
-        let chosen = order.iter().find(|source| backoff_left(source).is_zero()).copied();
-        let wait = order.iter().map(backoff_left).min().unwrap_or(STORE_BACKOFF);
-        if self.store_unreachable && chosen == Some(Source::Store) {
-            // Only one call at a time probes whether the store is reachable again.
-            self.backoff_until.insert(Source::Store, now + STORE_BACKOFF);
+        if let Some(source) = order.iter().find(|source| backoff_left(source).is_zero()).copied() {
+            if store_suspected && source == Source::Store {
+                // Only one call at a time probes whether the store is reachable again.
+                self.back_off(Source::Store, now + STORE_BACKOFF, BackoffCause::Probe);
+            }
+            return Ok(source);
         }
-        chosen.ok_or(wait)
+        let wait = order.iter().map(backoff_left).min().unwrap_or(STORE_BACKOFF);
+        let store_backoff = self.backoffs.get(&Source::Store);
+        let is_outage = store_backoff.is_some_and(|b| b.cause == BackoffCause::Failure);
+        Err(NoSource { wait, is_outage })
+    }
+
+    /// Returns whether a recent call to the store failed, and none has succeeded since.
+    pub fn is_store_suspected(&self, now: Duration) -> bool {
+        self.store_failed_at.is_some_and(|at| now < at + STORE_FAILURE_TTL)
     }
 
-    /// Ends the backoff of a source that responded; returns whether the store is reachable again.
-    pub fn on_success(&mut self, source: Source) -> bool {
-        self.backoff_until.remove(&source);
-        source == Source::Store && std::mem::take(&mut self.store_unreachable)
+    /// Ends the backoff of a source that responded.
+    pub fn on_success(&mut self, source: Source) {
+        self.backoffs.remove(&source);
+        if source == Source::Store {
+            self.store_failed_at = None;
+        }
     }
 
     /// Starts the backoff of a peer that does not currently read the store.
     pub fn on_refusal(&mut self, source: Source, now: Duration) {
-        self.backoff_until.insert(source, now + PEER_REFUSAL_BACKOFF);
+        self.back_off(source, now + PEER_REFUSAL_BACKOFF, BackoffCause::Refusal);
     }
 
     /// Starts the backoff of a source that did not respond or returned an error.
@@ -100,10 +147,16 @@
             Source::Store if peers.preceding.len() >= PEERS_TRIED_MAX => STORE_BACKOFF_WITH_PEERS,
             Source::Store => STORE_BACKOFF,
         };
-        self.store_unreachable |= source == Source::Store;
+        if source == Source::Store {
+            self.store_failed_at = Some(now);
+        }
         // Jitter, so that hosts that lost access to the store together do not retry together.
         let backoff = backoff.mul_f64(0.5 + self.random.next_f64() / 2.0);
-        self.backoff_until.insert(source, now + backoff);
-        self.backoff_until.retain(|_, until| *until > now);
+        self.back_off(source, now + backoff, BackoffCause::Failure);
+        self.backoffs.retain(|_, backoff| backoff.until > now);
+    }
+
+    fn back_off(&mut self, source: Source, until: Duration, cause: BackoffCause) {
+        self.backoffs.insert(source, Backoff { until, cause });
     }
 }
--- a/crates/gateway/tests/suite/sources.rs
+++ b/crates/gateway/tests/suite/sources.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ebonytack_core::Random;
-use ebonytack_gateway::{ReadPeers, Source, SourceSelector};
+use ebonytack_gateway::{NoSource, ReadPeers, Source, SourceSelector};
+use quickcheck::QuickCheck;
 
 const NOW: Duration = Duration::from_secs(100);
 /// Maximum time until a host probes whether the store is reachable again.
@@ -61,12 +62,13 @@
     for host in 2..=10 {
         first.on_refusal(Source::Peer(address(host)), NOW);
     }
-    let wait = first.choose(&read_peers(1), NOW).expect_err("all sources have a backoff");
-    assert!(wait <= PROBE_DELAY_MAX, "{wait:?}");
+    let NoSource { wait, is_outage } =
+        first.choose(&read_peers(1), NOW).expect_err("all sources have a backoff");
+    assert!(wait <= PROBE_DELAY_MAX && is_outage, "{wait:?}");
     let then = NOW + wait;
     assert_eq!(first.choose(&read_peers(1), then), Ok(Source::Store));
     assert_ne!(first.choose(&read_peers(1), then), Ok(Source::Store));
-    assert!(first.on_success(Source::Store));
+    first.on_success(Source::Store);
     assert_eq!(first.choose(&read_peers(1), then), Ok(Source::Store));
 }
 
@@ -81,8 +83,81 @@
                 last.on_failure(Source::Store, &read_peers(10), now);
             }
             Ok(peer) => last.on_refusal(peer, now),
-            Err(wait) => now += wait,
+            Err(none) => now += none.wait,
         }
     }
     assert!(calls <= 45, "{calls} calls in 30 s");
 }
+
+/// Guards against an outage of the store that a host infers from its own earlier failure, while a call
+/// that may refute it is under way.
+#[test]
+fn probe_of_the_store_is_no_outage_until_it_fails() {
+    let alone = ReadPeers::default();
+    let mut second = selector();
+    second.on_failure(Source::Store, &read_peers(2), NOW);
+    assert_eq!(second.choose(&read_peers(2), NOW), Ok(Source::Peer(address(1))));
+    second.on_success(Source::Peer(address(1)));
+    let hand_over = NOW + Duration::from_secs(1);
+    assert_eq!(second.choose(&alone, hand_over), Ok(Source::Store));
+    for _ in 0..2 {
+        let none = second.choose(&alone, hand_over).expect_err("one call at a time probes");
+        assert!(!none.is_outage && none.wait <= PROBE_DELAY_MAX, "{none:?}");
+    }
+    second.on_failure(Source::Store, &alone, hand_over);
+    let none = second.choose(&alone, hand_over).expect_err("the store has failed");
+    assert!(none.is_outage);
+}
+
+/// Guards against a failure that counts for good on a host that reads from another one, which makes no
+/// calls to the store that could succeed.
+#[test]
+fn failure_of_the_store_is_forgotten_without_later_calls() {
+    let mut second = selector();
+    second.on_failure(Source::Store, &read_peers(2), NOW);
+    assert!(second.is_store_suspected(NOW + Duration::from_secs(2)));
+    let later = NOW + Duration::from_secs(4);
+    assert!(!second.is_store_suspected(later));
+    // All followers of tables call the store at once when the other host falls silent.
+    for _ in 0..3 {
+        assert_eq!(second.choose(&ReadPeers::default(), later), Ok(Source::Store));
+    }
+}
+
+/// Guards against an outage reported while the last call to the store has succeeded or is under way,
+/// over random orders of calls, responses, hand-overs and pauses.
+#[test]
+fn outage_requires_that_the_last_call_to_the_store_has_failed() {
+    fn holds(steps: Vec<(u8, u8)>) -> bool {
+        let mut selector = selector();
+        let mut now = NOW;
+        let mut last_call_failed = false;
+        for (step, pause_ms) in steps {
+            now += Duration::from_millis(u64::from(pause_ms) * 10);
+            let peers = read_peers(u16::from(step % 4) + 1);
+            let peers = if step & 16 == 0 { peers } else { ReadPeers::default() };
+            match selector.choose(&peers, now) {
+                Ok(Source::Store) if step & 32 == 0 => {
+                    selector.on_failure(Source::Store, &peers, now);
+                    last_call_failed = true;
+                }
+                Ok(Source::Store) => {
+                    last_call_failed = false;
+                    // Otherwise the call is still under way when the next source is chosen.
+                    if step & 64 == 0 {
+                        selector.on_success(Source::Store);
+                    }
+                }
+                Ok(peer) if step & 32 == 0 => selector.on_refusal(peer, now),
+                Ok(peer) => selector.on_success(peer),
+                Err(none) => {
+                    if none.is_outage && !last_call_failed {
+                        return false;
+                    }
+                }
+            }
+        }
+        true
+    }
+    QuickCheck::new().tests(500).quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
+}
