fix(gateway): require keys after the operator has withdrawn the last customer

Cause: whether requests need a key was derived from the number of customers, and the decoder took an absent table for an empty one, so that "no customer is left" and "keys are not used" were the same configuration.

Change: a configuration says whether it requires keys.

--- a/crates/ebonytack/tests/suite/gateway.rs
+++ b/crates/ebonytack/tests/suite/gateway.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use ebonytack_stand_in::{Behaviour, Caller, StandInStore, StoreFault, configuration, is_ready};
+use ebonytack_stand_in::{
+    Behaviour, Caller, StandInStore, StoreFault, configuration, configuration_with_customers,
+    is_ready,
+};
 use nix::sys::signal::Signal;
 
 use crate::host::{FAST, Fixture, HostProcess, KEY};
@@ -70,6 +73,19 @@
     assert_eq!(draining.customers().len(), requests_before);
 }
 
+/// Guards against a withdrawal of the last customer that opens all routes.
+#[actix_rt::test]
+async fn no_key_is_accepted_after_the_last_customer_was_withdrawn() {
+    let fixture = Fixture::start("withdrawn", &[FAST]).await;
+    assert_eq!(fixture.request("/order/1", "o-1").await, 200);
+    fixture.store.put_configuration(&configuration_with_customers(2, &[]));
+    tokio::time::sleep(CONFIGURATION_TIME_MAX).await;
+    for (id, key) in [("o-2", KEY), ("o-3", "never-held"), ("o-4", "")] {
+        assert_eq!(fixture.host.request("/order/1", id, key).await, 401, "{key:?}");
+        assert_eq!(fixture.run_count(id), 0, "{key:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn requests_are_served_during_store_faults() {
     let fixture = Fixture::start("away", &[FAST]).await;
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -16,6 +16,9 @@
     pub services: BTreeMap<ServiceId, ServiceSpec>,
     /// Customers with their priorities and rates.
     pub customers: BTreeMap<CustomerId, Customer>,
+    /// Whether requests need a customer's API key, unless their route allows anonymous ones.
+    /// Invariant: set if there are customers; also if the operator has withdrawn the last one.
+    requires_keys: bool,
     /// Maps API keys to customers. Invariant: contains declared customers only.
     keys: HashMap<String, CustomerId>,
     /// Size and time limits on callers' requests.
@@ -124,8 +127,14 @@
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
 
-    /// Adds a customer and the API keys that identify it.
+    /// Requires a customer's API key, also if no customer is added.
+    pub fn require_keys(&mut self) {
+        self.requires_keys = true;
+    }
+
+    /// Adds a customer and the API keys that identify it. From then on requests need a key.
     pub fn add_customer(&mut self, id: CustomerId, customer: Customer, keys: Vec<String>) {
+        self.require_keys();
         for key in keys {
             self.keys.insert(key, id.clone());
         }
@@ -164,8 +173,8 @@
         self.routes.values().map(Vec::len).sum()
     }
 
-    /// Returns whether any customers are configured; without them no request needs a key.
-    pub fn has_customers(&self) -> bool {
-        !self.customers.is_empty()
+    /// Returns whether requests need a customer's API key, unless their route allows anonymous ones.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 }
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -87,11 +87,11 @@
             return refuse(RefusalReason::NoRoute);
         };
         let customer = match &incoming.key {
-            _ if !configuration.has_customers() => None,
+            _ if !configuration.requires_keys() => None,
             Some(key) => configuration.customer_of(key).cloned(),
             None => None,
         };
-        if customer.is_none() && !route.allows_anonymous && configuration.has_customers() {
+        if customer.is_none() && !route.allows_anonymous && configuration.requires_keys() {
             return refuse(RefusalReason::KeyMissing);
         }
         let settings = customer.as_ref().and_then(|id| configuration.customers.get(id));
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -5,7 +5,9 @@
 use ebonytack_core::{RefusalReason, RunState};
 use ebonytack_gateway::{Effect, Event, Instance, InstanceState};
 
-use crate::support::{Harness, configuration, instance, member, response};
+use crate::support::{
+    Harness, configuration, configuration_without_customers, instance, member, response,
+};
 
 const KEY: Option<&str> = Some("club-key");
 
@@ -44,6 +46,21 @@
     harness.only_attempt();
 }
 
+/// Guards against a withdrawal of the last customer that opens all routes.
+#[test]
+fn configuration_without_customers_refuses_requests_if_it_requires_keys() {
+    let mut harness = Harness::new(1);
+    let mut withdrawn = configuration_without_customers(2);
+    withdrawn.require_keys();
+    harness.step(Event::Configuration(Box::new(withdrawn)));
+    for key in [None, KEY, Some("never-held")] {
+        harness.send_request("/order/1", key);
+        assert_eq!(harness.refusal().map(|r| r.reason), Some(RefusalReason::KeyMissing), "{key:?}");
+    }
+    harness.send_request("/open/1", None);
+    harness.only_attempt();
+}
+
 #[test]
 fn draining_instance_receives_no_new_requests() {
     let mut harness = Harness::new(2);
--- a/crates/gateway/tests/suite/support.rs
+++ b/crates/gateway/tests/suite/support.rs
@@ -158,6 +158,15 @@
 }
 
 pub(crate) fn configuration(revision: u64) -> Configuration {
+    let mut configuration = configuration_without_customers(revision);
+    let customer = |rate| Customer { priority: None, rate_per_second: rate, burst: 10.0 };
+    configuration.add_customer("club".to_owned(), customer(None), vec!["club-key".to_owned()]);
+    let limited = customer(Some(5.0));
+    configuration.add_customer("bar".to_owned(), limited, vec!["bar-key".to_owned()]);
+    configuration
+}
+
+pub(crate) fn configuration_without_customers(revision: u64) -> Configuration {
     let mut configuration = Configuration::new(revision);
     for (name, idempotent, open) in
         [("lookup", true, false), ("order", false, false), ("open", true, true)]
@@ -175,10 +184,6 @@
             allows_anonymous: open,
         });
     }
-    let customer = |rate| Customer { priority: None, rate_per_second: rate, burst: 10.0 };
-    configuration.add_customer("club".to_owned(), customer(None), vec!["club-key".to_owned()]);
-    let limited = customer(Some(5.0));
-    configuration.add_customer("bar".to_owned(), limited, vec!["bar-key".to_owned()]);
     configuration
 }
 
