fix(gateway): use an instance again 5 s after a wrong-instance response

A host did not use an instance for which another one had answered (421) until its entry changed. An entry changes with the instance's state only, so that one false 421 took a sound instance out of use for good.

The response counts for 5 s now. The entry of an instance that has really ended is removed after three of its intervals of 1.5 s, and a later 421 says "not run", so that a request that meets one goes elsewhere. Kept: the instance is not used in the meantime, and other hosts are told at once.

--- a/crates/gateway/src/gateway/attempts.rs
+++ b/crates/gateway/src/gateway/attempts.rs
@@ -116,7 +116,7 @@
                 (weight, if failed { weight } else { 0.0 })
             }
             AttemptResult::Rejected { wrong_instance: true, .. } => {
-                view.address_reused = true;
+                view.wrong_instance_at = Some(now);
                 (WRONG_INSTANCE_FAILURES, WRONG_INSTANCE_FAILURES)
             }
             AttemptResult::Rejected { load, .. } => {
--- a/crates/gateway/src/gateway/evacuation.rs
+++ b/crates/gateway/src/gateway/evacuation.rs
@@ -31,7 +31,8 @@
     /// Returns whether an instance accepts requests, now or after a pause, and its data centre is
     /// not evacuated.
     pub(super) fn is_in_service(&self, view: &InstanceView) -> bool {
-        view.accepts_requests() && !self.evacuations.is_evacuated(&view.instance.data_centre)
+        view.accepts_requests(self.now)
+            && !self.evacuations.is_evacuated(&view.instance.data_centre)
     }
 
     /// Returns whether a service has instances that would accept requests, all of which are in
@@ -39,7 +40,7 @@
     pub(super) fn is_fully_evacuated(&self, service: &str) -> bool {
         let Some(service) = self.services.get(service) else { return false };
         let views = service.instances.iter().filter_map(|id| self.instances.get(id));
-        let mut accepting = views.filter(|view| view.accepts_requests()).peekable();
+        let mut accepting = views.filter(|view| view.accepts_requests(self.now)).peekable();
         accepting.peek().is_some() && accepting.all(|view| !self.is_in_service(view))
     }
 }
--- a/crates/gateway/src/gateway/placement.rs
+++ b/crates/gateway/src/gateway/placement.rs
@@ -14,6 +14,10 @@
 
 /// Time for which a load reported by an instance is taken into account.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(200);
+/// Time for which an instance is not used after another one has responded at its address, unless its
+/// entry changes. The entry of an instance that has ended is removed earlier; if it is still there, the
+/// response may have been false.
+const WRONG_INSTANCE_TTL: Duration = Duration::from_secs(5);
 /// An attempt is overdue after this multiple of its estimate, but not before `OVERDUE_MIN`.
 const OVERDUE_FACTOR: f64 = 3.0;
 const OVERDUE_MIN: Duration = Duration::from_millis(600);
@@ -251,9 +255,9 @@
 
 impl InstanceView {
     /// Returns whether the instance accepts requests, now or after a pause that it has asked for.
-    pub(super) fn accepts_requests(&self) -> bool {
+    pub(super) fn accepts_requests(&self, now: Duration) -> bool {
         self.instance.state == InstanceState::Ready
-            && !self.address_reused
+            && self.wrong_instance_at.is_none_or(|at| now >= at + WRONG_INSTANCE_TTL)
             && !self.availability.leaving
     }
 
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -85,8 +85,8 @@
     pub(super) availability: Availability,
     /// Whether the instance stays in use for now although its entry was removed.
     pub(super) without_entry: bool,
-    /// Whether another instance responded at the address since the entry last changed.
-    pub(super) address_reused: bool,
+    /// When another instance last responded at the address, if the entry has not changed since.
+    pub(super) wrong_instance_at: Option<Duration>,
     /// Short id of the instance in reports.
     pub(super) short_id: ShortId,
     /// This host's own requests in flight.
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -98,7 +98,7 @@
             Some(view) if view.instance.is_same_process(&instance) => {
                 let changed = view.instance.state != instance.state || view.without_entry;
                 view.without_entry = false;
-                view.address_reused = false;
+                view.wrong_instance_at = None;
                 view.warming_up_until = warming_up_until;
                 view.instance = instance;
                 if changed {
@@ -235,7 +235,7 @@
             warming_up_until,
             availability,
             without_entry: false,
-            address_reused: false,
+            wrong_instance_at: None,
             in_flight: 0,
             changed_at: Duration::ZERO,
             recent_stats: RecentAttemptStats::default(),
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -279,6 +279,26 @@
     harness.only_attempt();
 }
 
+/// Guards against an instance that one false response takes out of use for good, since its entry only
+/// changes with its state.
+#[test]
+fn instance_with_a_false_wrong_instance_response_is_used_again() {
+    let mut harness = Harness::new(1);
+    harness.send_request("/lookup/1", KEY);
+    let (attempt, _) = harness.only_attempt();
+    let rejected = ebonytack_gateway::AttemptResult::Rejected { wrong_instance: true, load: None };
+    harness.finish(attempt, rejected);
+    // The entry of an instance that has ended is removed after three intervals of 1.5 s.
+    for _ in 0..45 {
+        harness.send_request("/lookup/1", KEY);
+        assert_eq!(harness.refusal().map(|r| r.reason), Some(RefusalReason::NoInstance));
+        harness.advance(Duration::from_millis(100));
+    }
+    harness.advance(Duration::from_secs(1));
+    harness.send_request("/lookup/1", KEY);
+    harness.only_attempt();
+}
+
 #[test]
 fn instance_removed_after_a_local_store_outage_is_dropped() {
     let mut harness = Harness::new(2);
