fix(gateway): answer what is in flight when a stopping host exits

Another operator's report: requests taken late in the grace period of a planned stop were passed on and cut off at its end without a response, among them ones that may not be repeated.

Cause: the end of the grace period was known to the shell only, which stopped waiting and exited. Orders taken in the first 2.8 s with later deadlines were cut off, and refusals due at about the exit were not written any more. Ruled out: requests that are read after the host has stopped listening; they were refused as not run.

Change: the reducer refuses the remaining requests at its exit, each as "not run" or as "may have run", and the shell leaves 150 ms of its reserve to the callers.

`stopping_host_answers_orders_that_their_instances_have_not_answered` failed before and passes; `stopping_host_refuses_what_is_in_flight_at_its_exit` tests the decision.

--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -34,8 +34,11 @@
 /// How long a stopping host still accepts requests, until the load balancer stops sending them.
 /// Covers two health checks, which are a second apart, and connections opened in the meantime.
 const DRAIN_TIME: Duration = Duration::from_millis(2_800);
-/// The part of the platform's stop grace period that is reserved for flushing the log.
+/// The part of the platform's stop grace period that is left after the last requests were refused.
 const STOP_RESERVE: Duration = Duration::from_millis(350);
+/// The part of [`STOP_RESERVE`] in which callers receive these refusals; the rest is for flushing the
+/// log.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
 /// How long after a store outage an instance whose entry was removed meanwhile stays in use: the two
 /// seconds that instances take to register again, minus the time in which a host notices the
 /// recovery.
@@ -196,7 +199,7 @@
         shell.stopped.notified().await;
         connections.closed().await;
     };
-    if tokio::time::timeout(remaining, finished).await.is_err() {
+    if tokio::time::timeout(remaining + REFUSAL_TIME, finished).await.is_err() {
         log::warn!("stop: requests were still in flight at the end of the grace period.");
     }
     Ok(())
--- a/crates/ebonytack/tests/suite/stopping.rs
+++ b/crates/ebonytack/tests/suite/stopping.rs
@@ -3,12 +3,15 @@
 use std::time::{Duration, Instant};
 
 use ebonytack_http::ExchangeErrorKind;
-use ebonytack_stand_in::{Behaviour, Caller, is_ready};
+use ebonytack_stand_in::{
+    Behaviour, Caller, StandInInstance, StandInStore, configuration, is_ready,
+};
 use nix::sys::signal::Signal;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::host::{Fixture, KEY};
+use crate::host::{Fixture, HostProcess, KEY};
 
 #[actix_rt::test]
 async fn graceful_shutdown_completes_requests_in_flight() {
@@ -63,6 +66,68 @@
     assert!(fixture.host.wait_for_exit(Duration::from_secs(3)).await, "the host exits in time");
 }
 
+/// Guards against orders that a stopping host has taken and passed on, and then cuts off without a
+/// response at the end of its grace period: those that came just before and just after it stopped
+/// listening, on new and on kept connections, with deadlines around its exit.
+#[actix_rt::test]
+async fn stopping_host_answers_orders_that_their_instances_have_not_answered() {
+    const GRACE: Duration = Duration::from_secs(6);
+    let store = StandInStore::start().await.expect("the store starts");
+    let mut slow_routes = configuration(1, &[KEY]);
+    for route in slow_routes["routes"]["rows"].as_array_mut().expect("routes") {
+        route[4] = json!(20);
+    }
+    store.put_configuration(&slow_routes);
+    let never = Behaviour::Answer(Duration::from_secs(20));
+    let instance = StandInInstance::start("i-0", never).await.expect("an instance starts");
+    let mut registration: Value =
+        serde_json::from_slice(&instance.registration("stock", "ready")).expect("JSON");
+    registration["info"]["slots"] = json!(1_000);
+    store.put_instance(instance.id(), Some(registration.to_string().into_bytes()));
+    let mut host = HostProcess::start("late", &store).await;
+    let address = host.callers;
+    let mut kept = Vec::new();
+    for number in 0..10 {
+        let mut caller = Caller::new(address);
+        // The response leaves the connection open.
+        let refused = caller.send("/lookup/1", &format!("first-{number}"), "unknown", 500).await;
+        assert_eq!(refused.expect("a response").status.as_u16(), 401);
+        kept.push(caller);
+    }
+    host.signal(Signal::SIGTERM);
+    let stopped_at = Instant::now();
+    let mut orders = Vec::new();
+    for number in 0..50_u32 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let left_ms = u32::try_from(GRACE.saturating_sub(stopped_at.elapsed()).as_millis());
+        let left_ms = left_ms.expect("a short time");
+        // From a second before the end of the grace period to long after it.
+        let timeout_ms = (left_ms + (number % 8) * 200).saturating_sub(1_000).max(100);
+        let timeout_ms = if number % 5 == 0 { 15_000 } else { timeout_ms };
+        let mut caller = match kept.pop().filter(|_| number % 4 == 0) {
+            Some(caller) => caller,
+            None => Caller::new(address),
+        };
+        orders.push(actix_rt::spawn(async move {
+            let id = format!("o-{number}");
+            let result = caller.send("/order/1", &id, KEY, timeout_ms).await;
+            (id, result.map(|response| response.status.as_u16()).map_err(|error| error.kind))
+        }));
+    }
+    let mut unanswered = Vec::new();
+    for order in orders {
+        let (id, result) = order.await.expect("the task ends");
+        if instance.run_count(&id) > 0 && result.is_err() {
+            unanswered.push((id, result));
+        }
+    }
+    assert!(unanswered.is_empty(), "passed on, without a response: {unanswered:?}");
+    assert!(
+        host.wait_for_exit(GRACE.saturating_sub(stopped_at.elapsed())).await,
+        "it exits in time"
+    );
+}
+
 /// Guards against responses that a stopping host cuts off because their callers read slowly.
 #[actix_rt::test]
 async fn stopping_host_waits_for_a_caller_that_reads_its_response_slowly() {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -80,7 +80,7 @@
     Tick,
     /// The host accepts no more connections, and exits once the requests in flight have ended.
     Stop {
-        /// Time until the host exits even if requests are still in flight.
+        /// Time until requests that are still in flight are refused, and the host exits.
         exit_within: Duration,
     },
 }
--- a/crates/gateway/src/gateway/requests.rs
+++ b/crates/gateway/src/gateway/requests.rs
@@ -149,6 +149,18 @@
         self.refuse(request, RefusalReason::DeadlineExceeded, None, input);
     }
 
+    /// Refuses all requests without a response, since the host exits. Callers learn which of them may
+    /// have run.
+    pub(super) fn refuse_remaining(&mut self) {
+        let remaining = self.requests.iter().filter(|(_, active)| !active.completed);
+        let remaining: Vec<RequestId> = remaining.map(|(request, _)| *request).collect();
+        for request in remaining {
+            let input = "the host exits".to_owned();
+            let delay = self.with_jitter(RETRY_AFTER_STOP);
+            self.refuse(request, RefusalReason::Stopping, Some(delay), input);
+        }
+    }
+
     pub(super) fn on_caller_disconnected(&mut self, request: RequestId) {
         let Some(active) = self.requests.get_mut(&request) else { return };
         active.caller_disconnected = true;
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -73,6 +73,8 @@
     EntryGraceExpired,
     /// The removal of expired members and decayed counts.
     Housekeeping,
+    /// The end of the time that a stopping host leaves to requests in flight.
+    Exit,
 }
 
 /// An instance with this host's observations of it.
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -65,11 +65,14 @@
             TimerEvent::Overdue(attempt) => self.on_overdue(attempt),
             TimerEvent::EntryGraceExpired => self.remove_instances_without_entry(),
             TimerEvent::Housekeeping => self.run_housekeeping(),
+            TimerEvent::Exit => self.refuse_remaining(),
         }
     }
 
     fn on_stop(&mut self, exit_within: Duration) {
-        self.exit_at = Some(self.now + exit_within);
+        let exit_at = self.now + exit_within;
+        self.exit_at = Some(exit_at);
+        self.timers.arm(exit_at, TimerEvent::Exit);
         let requests = self.requests_in_flight() as u64;
         self.record(Record::StopBegan { requests });
     }
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -254,6 +254,32 @@
     assert!(harness.attempts().is_empty());
 }
 
+/// Guards against requests that a stopping host leaves without a response when it exits.
+#[test]
+fn stopping_host_refuses_what_is_in_flight_at_its_exit() {
+    let mut harness = Harness::new(2);
+    for path in ["/order/1", "/lookup/1"] {
+        harness.send_request(path, KEY);
+        harness.only_attempt();
+    }
+    harness.step(Event::Stop { exit_within: Duration::from_secs(1) });
+    assert!(refusals(&harness.advance(Duration::from_millis(990))).is_empty());
+    let refused = refusals(&harness.advance(Duration::from_millis(20)));
+    assert_eq!(refused, [(502, RunState::Unknown), (502, RunState::Unknown)]);
+    // A request that is read only now has not run.
+    harness.send_request("/order/1", KEY);
+    let refusal = harness.refusal().expect("a refusal");
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::Stopping, RunState::NotRun));
+}
+
+fn refusals(effects: &[Effect]) -> Vec<(u16, RunState)> {
+    let refusals = effects.iter().filter_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some((refusal.reason.status(), refusal.run)),
+        _ => None,
+    });
+    refusals.collect()
+}
+
 #[test]
 fn members_without_reports_are_removed_after_the_timeout() {
     let mut harness = Harness::new(1);
