--- a/crates/ebonytack/tests/suite/sources.rs
+++ b/crates/ebonytack/tests/suite/sources.rs
@@ -34,11 +34,12 @@
     second_door.set_fault(StoreFault::None);
     tokio::time::sleep(CALM).await;
 
-    let outages = |host: &HostProcess| {
-        let log = host.log.lock().expect("no thread panicked");
-        log.iter().filter(|line| line.contains("\"reachable\":false")).count()
+    let lines = |texts: &[&str]| {
+        let log = second.log.lock().expect("no thread panicked");
+        let lines = log.iter().filter(|line| texts.iter().any(|text| line.contains(text)));
+        lines.cloned().collect::<Vec<String>>()
     };
-    let outages_before = outages(&second);
+    let outages_before = lines(&["\"reachable\":false"]).len();
     reader.signal(Signal::SIGSTOP);
     tokio::time::sleep(Duration::from_millis(50)).await;
     store.put_instance("leaves", None);
@@ -53,8 +54,10 @@
     }
     reader.signal(Signal::SIGCONT);
     assert!(stays.received_count() > 0);
-    assert!(last_used < REMOVAL_TIME_MAX, "used {last_used:?} after its entry was removed");
-    assert_eq!(outages(&second), outages_before, "the store was reachable all the time");
+    let seen = lines(&["\"event\":\"store\"", "\"instance\":\"leaves\",\"service\""]).join("\n");
+    assert!(last_used < REMOVAL_TIME_MAX, "used {last_used:?} after its entry was removed: {seen}");
+    let outages = lines(&["\"reachable\":false"]).len();
+    assert_eq!(outages, outages_before, "the store was reachable all the time: {seen}");
 }
 
 async fn start_instance(store: &StandInStore, id: &str) -> StandInInstance {
