fix(gateway): measure slow readers by the least rate of a caller

The clock ran while the kernel took no more bytes, and the kernel takes more only when a good part of its full buffers has become free, later than after 5 s at this rate. Ruled out: a short memory, in which the slowest reader gives way on purpose.

The limit now follows from the least rate at which callers read, a setting in bytes a second (default 4,096): the time in which full buffers empty, 32 s. A caller without progress still gives way at once when the memory is short, and, new, after 5 s when all connections are in use, so that such callers do not keep others out for longer than before.

--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpStream;
 
 use super::attempt::{CallerRequest, StoredResponse};
-use super::connections::limits::Phase;
+use super::connections::limits::{Phase, SOCKET_BUFFER_BYTES};
 use super::connections::{CallerConnection, CallerStream};
 use super::response_body::ResponseBody;
 use super::shell::{CallerResponse, GatewayShell};
@@ -37,9 +37,6 @@
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// The HTTP library fills its write buffer up to this size and keeps it with the connection.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
-/// What the kernel may hold in each direction of a connection if the memory is limited. It doubles the
-/// value.
-const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
 /// After how long a caller may repeat a request that was refused because the memory is short. Bodies
 /// without progress have given way by then.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/ebonytack/src/gateway/connections/limits.rs
+++ b/crates/ebonytack/src/gateway/connections/limits.rs
@@ -7,8 +7,11 @@
 /// The part of the other descriptors that callers may use, in percent. Each request in progress needs
 /// one more for its instance; the rest is for the store, other hosts and readiness checks.
 const CALLERS_PERCENT: usize = 40;
-/// How long a writer may make no progress.
-pub const WRITE_STALL_MAX: Duration = Duration::from_secs(5);
+/// What the kernel may hold in each direction of a connection if the memory is limited. It doubles the
+/// value.
+pub const SOCKET_BUFFER_BYTES: usize = 64 * 1024;
+/// How long a writer makes no progress before its connection may be closed for another.
+pub const WRITE_STALL_MIN: Duration = Duration::from_secs(5);
 /// How long a connection may stay open after the refusal of a request whose body was not read.
 pub const CLOSE_TIME_MAX: Duration = Duration::from_secs(2);
 /// Added to the configured time for a head, which the caller measures from its first byte.
@@ -63,18 +66,37 @@
     }
 }
 
+/// The time limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeLimits {
+    /// How long a caller may take to send a head, measured by itself from the first byte.
+    pub head_timeout: Duration,
+    /// The least rate at which a caller reads its responses.
+    pub read_rate_min_bytes_per_s: usize,
+}
+
+impl TimeLimits {
+    /// Returns how long a writer may make no progress. The kernel takes more bytes only when a good part
+    /// of its full buffers has become free, also if the caller reads all the time.
+    pub fn write_stall_max(&self) -> Duration {
+        let buffers_bytes = 2 * SOCKET_BUFFER_BYTES as u64;
+        let rate_bytes_per_s = self.read_rate_min_bytes_per_s.max(1) as u64;
+        Duration::from_millis(buffers_bytes * 1_000 / rate_bytes_per_s)
+    }
+}
+
 /// Returns why a connection has to be closed, or `None` if it may stay open.
 pub fn overdue(
     phase: Phase,
     in_phase: Duration,
     write_blocked: Option<Duration>,
-    head_timeout: Duration,
+    limits: &TimeLimits,
 ) -> Option<&'static str> {
-    if write_blocked.is_some_and(|blocked| blocked > WRITE_STALL_MAX) {
+    if write_blocked.is_some_and(|blocked| blocked > limits.write_stall_max()) {
         return Some("response-unread");
     }
     match phase {
-        Phase::Head if in_phase > head_timeout + HEAD_GRACE_PERIOD => Some("head-slow"),
+        Phase::Head if in_phase > limits.head_timeout + HEAD_GRACE_PERIOD => Some("head-slow"),
         Phase::Closing if in_phase > CLOSE_TIME_MAX => Some("body-unread"),
         _ => None,
     }
--- a/crates/ebonytack/src/gateway/connections/mod.rs
+++ b/crates/ebonytack/src/gateway/connections/mod.rs
@@ -4,6 +4,7 @@
 mod stream;
 mod table;
 
+pub(super) use limits::TimeLimits;
 pub(super) use stream::CallerStream;
 pub(super) use table::{CallerConnection, ConnectionTable};
 
--- a/crates/ebonytack/src/gateway/connections/table.rs
+++ b/crates/ebonytack/src/gateway/connections/table.rs
@@ -4,11 +4,11 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::task::Waker;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tokio::sync::Notify;
 
-use super::limits::{Phase, overdue};
+use super::limits::{Phase, TimeLimits, WRITE_STALL_MIN, overdue};
 
 /// The queue of waiting connections is cleared of outdated entries when it has this many beyond two
 /// for each connection.
@@ -70,9 +70,13 @@
         self.connections.borrow_mut().remove(&connection.id);
     }
 
-    /// Closes the connection that has waited longest without a complete request. Returns whether there
-    /// was one.
-    pub(in crate::gateway) fn close_longest_waiting(&self) -> bool {
+    /// Closes a connection for another one: the one that has waited longest without a complete request,
+    /// or else the one whose caller has not read its response for longest. Returns whether there was one.
+    pub(in crate::gateway) fn make_room(&self) -> bool {
+        self.close_longest_waiting() || self.close_longest_unread()
+    }
+
+    fn close_longest_waiting(&self) -> bool {
         let connections = self.connections.borrow();
         let mut waiting = self.waiting.borrow_mut();
         while let Some((id, wait)) = waiting.pop_front() {
@@ -84,8 +88,22 @@
         false
     }
 
+    fn close_longest_unread(&self) -> bool {
+        let now = Instant::now();
+        let connections = self.connections.borrow();
+        let blocked = connections.values().filter_map(|connection| {
+            let since = connection.write_blocked_since.get()?;
+            (now.saturating_duration_since(since) > WRITE_STALL_MIN).then_some((since, connection))
+        });
+        let longest = blocked.min_by_key(|(since, _)| *since);
+        if let Some((_, connection)) = longest {
+            connection.close("connections");
+        }
+        longest.is_some()
+    }
+
     /// Closes connections that exceed a time limit, and updates the metrics.
-    pub(in crate::gateway) fn sweep(&self, head_timeout: Duration) {
+    pub(in crate::gateway) fn sweep(&self, limits: &TimeLimits) {
         let now = Instant::now();
         let mut counts = [0_u32; Phase::ALL.len()];
         for connection in self.connections.borrow().values() {
@@ -94,7 +112,7 @@
             let in_phase = now.saturating_duration_since(connection.phase_since.get());
             let blocked_since = connection.write_blocked_since.get();
             let blocked = blocked_since.map(|since| now.saturating_duration_since(since));
-            if let Some(cause) = overdue(phase, in_phase, blocked, head_timeout) {
+            if let Some(cause) = overdue(phase, in_phase, blocked, limits) {
                 connection.close(cause);
             }
         }
--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -69,7 +69,7 @@
     let connections_max = callers_max(file.caller_connections, file.descriptors);
     let connections_max = connections_max.min(shell.memory.connections_max());
     let connections = Rc::clone(&shell.connections);
-    let make_room = move || connections.close_longest_waiting();
+    let make_room = move || connections.make_room();
     let callers =
         Listener::open_with_room(file.callers, connections_max, make_room, callers).await?;
     if let Some(address) = file.metrics {
@@ -134,7 +134,7 @@
 async fn limits_loop(shell: Rc<GatewayShell>) {
     loop {
         tokio::time::sleep(LIMITS_INTERVAL).await;
-        shell.connections.sweep(shell.caller_limits().header_timeout);
+        shell.connections.sweep(&shell.time_limits());
         shell.memory.observe();
     }
 }
--- a/crates/ebonytack/src/gateway/settings.rs
+++ b/crates/ebonytack/src/gateway/settings.rs
@@ -12,6 +12,10 @@
 const CONNECTIONS_MIN: usize = 16;
 /// A host without any request holds 12 to 20 MB, and needs some for small requests.
 const MEMORY_MIN_MB: usize = 48;
+/// What a caller on a slow line reads.
+const CALLER_RATE_MIN_DEFAULT_BYTES_PER_S: usize = 4_096;
+/// A caller that reads at this rate keeps full buffers of 128 KiB for eight minutes.
+const CALLER_RATE_MIN_LOWEST_BYTES_PER_S: usize = 256;
 /// 200 descriptors are kept for files; sockets share the rest.
 const DESCRIPTORS_MIN: usize = 256;
 
@@ -31,6 +35,9 @@
     /// The process' limit of open descriptors.
     #[serde(default)]
     descriptors: Option<usize>,
+    /// The least rate at which callers read their responses, in bytes per second.
+    #[serde(default)]
+    caller_rate_min_bytes_per_s: Option<usize>,
     /// Whether all hosts start together for the first time.
     #[serde(default)]
     first_start: bool,
@@ -70,6 +77,8 @@
     pub(super) memory_mb: Option<usize>,
     /// The process' limit of open descriptors; `None` when it is unknown.
     pub(super) descriptors: Option<usize>,
+    /// The least rate at which callers read their responses, in bytes per second.
+    pub(super) caller_rate_min_bytes_per_s: usize,
     /// Whether all hosts start together for the first time, before callers send requests.
     pub(super) first_start: bool,
     pub(super) bounds: Bounds,
@@ -111,6 +120,13 @@
             let allowed = format!("at least {DESCRIPTORS_MIN}");
             faults.push(Fault::new("$.descriptors", found, &allowed));
         }
+        let caller_rate_min_bytes_per_s =
+            raw.caller_rate_min_bytes_per_s.unwrap_or(CALLER_RATE_MIN_DEFAULT_BYTES_PER_S);
+        if caller_rate_min_bytes_per_s < CALLER_RATE_MIN_LOWEST_BYTES_PER_S {
+            let allowed = format!("at least {CALLER_RATE_MIN_LOWEST_BYTES_PER_S}");
+            let path = "$.caller_rate_min_bytes_per_s";
+            faults.push(Fault::new(path, caller_rate_min_bytes_per_s, &allowed));
+        }
         let callers = parse_address(&mut faults, "$.listen.callers", &raw.listen.callers);
         let ready = parse_address(&mut faults, "$.listen.ready", &raw.listen.ready);
         let peers = parse_address(&mut faults, "$.listen.peers", &raw.listen.peers);
@@ -138,6 +154,7 @@
                     caller_connections: raw.caller_connections,
                     memory_mb: raw.memory_mb,
                     descriptors: raw.descriptors,
+                    caller_rate_min_bytes_per_s,
                     first_start: raw.first_start,
                     bounds,
                 })
--- a/crates/ebonytack/src/gateway/shell.rs
+++ b/crates/ebonytack/src/gateway/shell.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::{CallerRequest, Destination, StoredResponse, run_attempt};
-use super::connections::ConnectionTable;
+use super::connections::{ConnectionTable, TimeLimits};
 use super::log_queue::LogQueue;
 use super::memory::MemoryAccount;
 use super::pool::Pool;
@@ -150,6 +150,17 @@
     }
 }
 
+/// Limits on callers' connections.
+impl GatewayShell {
+    /// Returns the time limits in force.
+    pub(super) fn time_limits(&self) -> TimeLimits {
+        TimeLimits {
+            head_timeout: self.caller_limits().header_timeout,
+            read_rate_min_bytes_per_s: self.settings.borrow().caller_rate_min_bytes_per_s,
+        }
+    }
+}
+
 /// Methods that feed events to the reducer.
 impl GatewayShell {
     /// Feeds an event to the reducer and carries out the resulting effects.
--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod host;
 mod instances;
 mod limits;
+mod slow_readers;
 mod sources;
 mod stopping;
 
