fix(gateway): deliver responses before a connection or the process ends

A stopping host exited when the kernel had taken its responses.

Cause: the connection was closed as soon as everything was written, whether or not the caller had read it, and nothing read what the caller still sent. Ruled out: an early end by the platform, and bytes that were not written.

Change: a connection that ends by itself is shut down for writing and read until its caller closes, as long as the caller may take at the least rate, which is estimated from what was written. A stopping host counts these connections as open.

`stopping_host_delivers_the_response_of_a_caller_that_sends_ahead` failed before (278,702 bytes and a reset) and passes; `delivery_takes_as_long_as_the_least_rate_allows` tests the estimate.

--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -1,5 +1,6 @@
 //! HTTP service for callers.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,7 +20,7 @@
 
 use super::attempt::{CallerRequest, StoredResponse};
 use super::connections::limits::{Phase, SOCKET_BUFFER_BYTES};
-use super::connections::{CallerConnection, CallerStream};
+use super::connections::{CallerConnection, CallerStream, close_after_delivery};
 use super::response_body::ResponseBody;
 use super::shell::{CallerResponse, GatewayShell};
 use super::upload::{BodyError, ReceivedBody, read_body};
@@ -69,10 +70,22 @@
             limit_socket_buffers(&shell, &stream);
             let connection = shell.connections.open();
             let header_max_bytes = shell.caller_limits().header_max_bytes;
-            let stream = CallerStream::new(stream, Rc::clone(&connection), header_max_bytes);
-            tokio::select! {
-                () = serve(stream, from) => {}
-                () = connection.closed.notified() => {}
+            let socket = Rc::new(RefCell::new(stream));
+            let stream = CallerStream::new(
+                Rc::clone(&socket),
+                Rc::clone(&connection),
+                header_max_bytes,
+                shell.time_limits(),
+            );
+            let is_complete = tokio::select! {
+                () = serve(stream, from) => true,
+                () = connection.closed.notified() => false,
+            };
+            // The HTTP library has dropped its part of the socket.
+            let socket = Rc::into_inner(socket).filter(|_| is_complete);
+            if let Some(socket) = socket {
+                connection.set_phase(Phase::Ending);
+                close_after_delivery(socket.into_inner(), connection.delivery.get()).await;
             }
             shell.connections.remove(&connection);
         }) as ConnectionTask
--- a/crates/ebonytack/src/gateway/connections/limits.rs
+++ b/crates/ebonytack/src/gateway/connections/limits.rs
@@ -34,11 +34,13 @@
     Responded,
     /// A request was refused before its body was read.
     Closing,
+    /// There are no more responses, and the caller has not closed its side yet.
+    Ending,
 }
 
 impl Phase {
     /// All phases.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Idle,
         Self::Head,
         Self::Body,
@@ -46,6 +48,7 @@
         Self::Responding,
         Self::Responded,
         Self::Closing,
+        Self::Ending,
     ];
 
     /// Returns whether the connection has no complete request, so that it may be closed for another.
@@ -61,7 +64,7 @@
             Self::Body => "body",
             Self::Serving => "serving",
             Self::Responding | Self::Responded => "responding",
-            Self::Closing => "closing",
+            Self::Closing | Self::Ending => "closing",
         }
     }
 }
@@ -79,9 +82,12 @@
     /// Returns how long a writer may make no progress. The kernel takes more bytes only when a good part
     /// of its full buffers has become free, also if the caller reads all the time.
     pub fn write_stall_max(&self) -> Duration {
-        let buffers_bytes = 2 * SOCKET_BUFFER_BYTES as u64;
-        let rate_bytes_per_s = self.read_rate_min_bytes_per_s.max(1) as u64;
-        Duration::from_millis(buffers_bytes * 1_000 / rate_bytes_per_s)
+        self.read_time(2 * SOCKET_BUFFER_BYTES)
+    }
+
+    /// Returns how long a caller may take to read this many bytes.
+    pub fn read_time(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / self.read_rate_min_bytes_per_s.max(1) as f64)
     }
 }
 
--- a/crates/ebonytack/src/gateway/connections/stream.rs
+++ b/crates/ebonytack/src/gateway/connections/stream.rs
@@ -1,5 +1,6 @@
 //! The byte stream of a caller's connection, as the HTTP library sees it.
 
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::limits::Phase;
+use super::limits::{Phase, TimeLimits};
 use super::table::CallerConnection;
 
 /// How many bytes are read before those that arrived are decoded. The HTTP library would read up to
@@ -20,24 +21,27 @@
 const HEAD_TOO_LARGE: &[u8] =
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// A caller's connection.
+/// A caller's connection. The socket is shared with the task that closes it after the HTTP library has
+/// ended.
 pub(in crate::gateway) struct CallerStream {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     pub(in crate::gateway) connection: Rc<CallerConnection>,
     /// How many bytes of a head are accepted, and of what arrives with it.
     head_max_bytes: usize,
+    limits: TimeLimits,
     /// How many bytes were read since the decoder last ran.
     turn_bytes: usize,
 }
 
 impl CallerStream {
     pub(in crate::gateway) fn new(
-        stream: TcpStream,
+        stream: Rc<RefCell<TcpStream>>,
         connection: Rc<CallerConnection>,
         header_max_bytes: usize,
+        limits: TimeLimits,
     ) -> Self {
         let head_max_bytes = header_max_bytes + TURN_MAX_BYTES;
-        Self { stream, connection, head_max_bytes, turn_bytes: 0 }
+        Self { stream, connection, head_max_bytes, limits, turn_bytes: 0 }
     }
 }
 
@@ -61,7 +65,8 @@
         let filled = buffer.filled().len();
         let room = buffer.remaining().min(TURN_MAX_BYTES - self.turn_bytes);
         let mut turn = ReadBuf::new(buffer.initialize_unfilled_to(room));
-        match Pin::new(&mut self.stream).poll_read(cx, &mut turn) {
+        let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut turn);
+        match read {
             Poll::Ready(Ok(())) => {}
             other => {
                 self.turn_bytes = 0;
@@ -80,7 +85,7 @@
             metrics::counter!("ebonytack_limit_refusals_total", "cause" => "head-too-large")
                 .increment(1);
             // Nothing else is written in this phase. The caller may have closed the connection.
-            let _ = self.stream.try_write(HEAD_TOO_LARGE);
+            let _ = self.stream.borrow().try_write(HEAD_TOO_LARGE);
             // Reports the end of the stream.
             buffer.set_filled(filled);
         }
@@ -90,11 +95,16 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(written_bytes)) = result {
+            let mut delivery = self.connection.delivery.get();
+            delivery.on_written(written_bytes, &self.limits, Instant::now());
+            self.connection.delivery.set(delivery);
+        }
         let blocked_since = &self.connection.write_blocked_since;
         match &result {
             Poll::Pending if blocked_since.get().is_none() => {
@@ -106,13 +116,13 @@
         result
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx));
         self.connection.on_flushed();
         Poll::Ready(result)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/crates/ebonytack/src/gateway/connections/table.rs
+++ b/crates/ebonytack/src/gateway/connections/table.rs
@@ -8,6 +8,7 @@
 
 use tokio::sync::Notify;
 
+use super::delivery::Delivery;
 use super::limits::{Phase, TimeLimits, WRITE_STALL_MIN, overdue};
 
 /// The queue of waiting connections is cleared of outdated entries when it has this many beyond two
@@ -39,6 +40,8 @@
     /// The task that waits until more bytes may be read.
     pub(super) reader: RefCell<Option<Waker>>,
     pub(super) write_blocked_since: Cell<Option<Instant>>,
+    /// When the caller has received what was written.
+    pub(in crate::gateway) delivery: Cell<Delivery>,
     /// Signalled when the connection has to be closed.
     pub(in crate::gateway) closed: Rc<Notify>,
 }
@@ -58,6 +61,7 @@
             early_bytes: Cell::new(0),
             reader: RefCell::default(),
             write_blocked_since: Cell::new(None),
+            delivery: Cell::new(Delivery::new(Instant::now())),
             closed: Rc::default(),
         });
         self.connections.borrow_mut().insert(id, Rc::clone(&connection));
@@ -189,7 +193,7 @@
             Phase::Serving | Phase::Responding | Phase::Responded => {
                 self.early_bytes.set(self.early_bytes.get() + bytes);
             }
-            Phase::Body | Phase::Closing => {}
+            Phase::Body | Phase::Closing | Phase::Ending => {}
         }
     }
 
--- a/crates/ebonytack/src/gateway/connections/tests.rs
+++ b/crates/ebonytack/src/gateway/connections/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the limits on connections.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use super::delivery::Delivery;
 use super::limits::{Phase, TimeLimits, callers_max, overdue};
 
 const LIMITS: TimeLimits =
@@ -44,3 +45,23 @@
     let waiting: Vec<_> = Phase::ALL.into_iter().filter(|phase| phase.is_waiting()).collect();
     assert_eq!(waiting, [Phase::Idle, Phase::Head, Phase::Body, Phase::Closing]);
 }
+
+/// Guards against a connection that is closed while its caller still reads at the least rate, and one
+/// that is kept open for more than the kernel can hold.
+#[test]
+fn delivery_takes_as_long_as_the_least_rate_allows() {
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let mut delivery = Delivery::new(start);
+    assert_eq!(delivery.time_left(start), Duration::ZERO);
+    delivery.on_written(4_096, &LIMITS, start);
+    delivery.on_written(8_192, &LIMITS, after(500));
+    assert_eq!(delivery.time_left(after(500)), Duration::from_millis(2_500));
+    assert_eq!(delivery.time_left(after(4_000)), Duration::ZERO);
+    delivery.on_written(4_096, &LIMITS, after(10_000));
+    assert_eq!(delivery.time_left(after(10_000)), Duration::from_secs(1));
+    for _ in 0..100 {
+        delivery.on_written(64 * 1024, &LIMITS, after(11_000));
+    }
+    assert_eq!(delivery.time_left(after(11_000)), LIMITS.write_stall_max());
+}
--- a/crates/ebonytack/tests/suite/slow_readers.rs
+++ b/crates/ebonytack/tests/suite/slow_readers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ebonytack_stand_in::Behaviour;
+use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -77,3 +78,26 @@
     assert!(slow.is_ok() && fast.is_ok(), "{received} bytes, {slow:?}, {fast:?}");
     assert!(caller.has_whole_body(), "{received} bytes");
 }
+
+/// Guards against a response that is lost in the buffers of the kernel when a stopping host exits, or
+/// when what its caller has sent ahead resets the connection.
+#[actix_rt::test]
+async fn stopping_host_delivers_the_response_of_a_caller_that_sends_ahead() {
+    let large = Behaviour::AnswerLarge(BODY_BYTES);
+    let mut fixture = Fixture::start_with("ahead", &[large], MEMORY).await;
+    let mut caller = SlowCaller::start(&fixture, 16 * 1024).await;
+    caller.send_order("o-1").await;
+    caller.read(75_000.0, Duration::from_millis(200)).await.expect("the response begins");
+    fixture.host.signal(Signal::SIGTERM);
+    let stopped_at = Instant::now();
+    caller.read(75_000.0, Duration::from_millis(3_300)).await.expect("the response goes on");
+    caller.send_order("o-2").await;
+    let rest = caller.read(75_000.0, SILENCE_MAX).await;
+    let received = caller.received.len();
+    assert!(rest.is_ok() && caller.has_whole_body(), "{received} bytes, {rest:?}");
+    assert_eq!(fixture.run_count("o-2"), 0, "what was sent ahead is left for another connection");
+    drop(caller);
+    // The host does not wait longer than for its caller.
+    let left = Duration::from_millis(5_500).saturating_sub(stopped_at.elapsed());
+    assert!(fixture.host.wait_for_exit(left).await, "the host exits when its caller has closed");
+}
