fix(gateway): count the heads of requests in the account of memory

The account counted bodies and responses only. A head is held about seven times over: the buffer that it came in, three maps of its headers, and the head that is sent.

Heads are counted now, with an estimate from their text and number of headers, before the body is read and until the last attempt has ended. The request as received is dropped when it is forwarded, so that two maps remain. Ruled out: the bodies' part of the account (usual heads stay far below), and kernel buffers (not resident).

--- a/crates/ebonytack/src/gateway/attempt.rs
+++ b/crates/ebonytack/src/gateway/attempt.rs
@@ -36,6 +36,8 @@
     pub(super) headers: HeaderMap,
     /// The body with its memory, which is held as long as an attempt may need it.
     pub(super) body: Option<ReceivedBody>,
+    /// The memory of the head, released with the request.
+    pub(super) _head_hold: Hold,
 }
 
 /// A complete response, and the memory that it holds.
--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -10,7 +10,7 @@
 use actix_http::{ConnectionType, HttpMessage, HttpService, Request, Response, StatusCode};
 use actix_service::fn_service;
 use bytes::Bytes;
-use ebonytack_adapter::{read_request_metadata, set_request_id};
+use ebonytack_adapter::{RequestMetadata, read_request_metadata, set_request_id};
 use ebonytack_core::{Refusal, RefusalReason, RequestId};
 use ebonytack_gateway::IncomingRequest;
 use ebonytack_http::Body;
@@ -21,9 +21,11 @@
 use super::attempt::{CallerRequest, StoredResponse};
 use super::connections::limits::{Phase, SOCKET_BUFFER_BYTES};
 use super::connections::{CallerConnection, CallerStream, close_after_delivery};
+use super::memory::budget::HoldKind;
+use super::memory::head::head_memory_bytes;
 use super::response_body::ResponseBody;
 use super::shell::{CallerResponse, GatewayShell};
-use super::upload::{BodyError, ReceivedBody, read_body};
+use super::upload::{BodyError, read_body};
 use crate::proxy::headers::end_to_end;
 use crate::runtime::{ConnectionTask, connection_service};
 
@@ -119,19 +121,12 @@
     set_phase(Phase::Body);
     let metadata = read_request_metadata(request.headers());
     let request_id = metadata.request_id.clone();
-    let body_max_bytes = shell.caller_limits().body_max_bytes;
-    let body = read_body(&shell.memory, &mut request, body_max_bytes, metadata.timeout).await;
-    let mut response = match body {
-        Ok(body) => {
+    let mut response = match read_request(&shell, &mut request, metadata).await {
+        Ok((incoming, caller_request)) => {
+            // The copies of the head that `caller_request` has are enough.
+            drop(request);
             set_phase(Phase::Serving);
-            let incoming = IncomingRequest {
-                caller_request_id: metadata.request_id,
-                host: host_name(request.headers()),
-                path: request.path().to_owned(),
-                key: metadata.api_key,
-                timeout: metadata.timeout,
-            };
-            let response = forward(&shell, &request, incoming, body, connection.as_ref()).await;
+            let response = forward(&shell, incoming, caller_request, connection.as_ref()).await;
             set_phase(Phase::Responding);
             response
         }
@@ -146,6 +141,40 @@
     Ok(response)
 }
 
+/// Reads the body of a request. Returns what the reducer has to know of the request, and the request as
+/// it is forwarded.
+async fn read_request(
+    shell: &GatewayShell,
+    request: &mut Request,
+    metadata: RequestMetadata,
+) -> Result<(IncomingRequest, CallerRequest), BodyError> {
+    let head_hold = shell.memory.hold(HoldKind::Head);
+    let target_bytes = request.uri().to_string().len();
+    if !head_hold.resize(head_memory_bytes(target_bytes, request.headers())) {
+        return Err(BodyError::NoMemory);
+    }
+    let body_max_bytes = shell.caller_limits().body_max_bytes;
+    let body = read_body(&shell.memory, request, body_max_bytes, metadata.timeout).await?;
+    let mut headers = end_to_end(request.headers());
+    headers.remove(EXPECT);
+    let caller_request = CallerRequest {
+        caller_request_id: metadata.request_id.clone(),
+        method: request.method().clone(),
+        target: request.uri().clone(),
+        headers,
+        body,
+        _head_hold: head_hold,
+    };
+    let incoming = IncomingRequest {
+        caller_request_id: metadata.request_id,
+        host: host_name(request.headers()),
+        path: request.path().to_owned(),
+        key: metadata.api_key,
+        timeout: metadata.timeout,
+    };
+    Ok((incoming, caller_request))
+}
+
 /// Refuses a request whose body was not read, so that the connection cannot be used again.
 fn body_refusal(error: BodyError, request_id: &str) -> Response<ResponseBody> {
     metrics::counter!("ebonytack_limit_refusals_total", "cause" => error.name()).increment(1);
@@ -164,21 +193,11 @@
 
 async fn forward(
     shell: &Rc<GatewayShell>,
-    request: &Request,
     incoming: IncomingRequest,
-    body: Option<ReceivedBody>,
+    caller_request: CallerRequest,
     connection: Option<&Rc<CallerConnection>>,
 ) -> Response<ResponseBody> {
     let request_id = incoming.caller_request_id.clone();
-    let mut headers = end_to_end(request.headers());
-    headers.remove(EXPECT);
-    let caller_request = CallerRequest {
-        caller_request_id: request_id.clone(),
-        method: request.method().clone(),
-        target: request.uri().clone(),
-        headers,
-        body,
-    };
     let (id, response) = shell.feed_request(incoming, caller_request);
     let guard = RequestGuard { shell: Rc::clone(shell), request: id };
     let response = match response.await {
--- a/crates/ebonytack/src/gateway/memory/account.rs
+++ b/crates/ebonytack/src/gateway/memory/account.rs
@@ -81,6 +81,7 @@
         let set = |kind: &'static str, bytes: usize| {
             metrics::gauge!("ebonytack_memory_held_bytes", "kind" => kind).set(bytes as f64);
         };
+        set("head", held.head_bytes);
         set("body", held.body_bytes);
         set("response", held.response_bytes);
         metrics::gauge!("ebonytack_memory_short").set(f64::from(u8::from(self.is_short.get())));
@@ -89,6 +90,7 @@
     fn change(&self, kind: HoldKind, from_bytes: usize, to_bytes: usize) {
         let mut held = self.held.get();
         let bytes = match kind {
+            HoldKind::Head => &mut held.head_bytes,
             HoldKind::Body => &mut held.body_bytes,
             HoldKind::Response => &mut held.response_bytes,
         };
@@ -100,9 +102,10 @@
         if !self.is_short.replace(true) {
             let held = self.held.get();
             log::warn!(
-                "memory: short, {} of {} bytes held: {} for bodies, {} for responses.",
+                "memory: short, {} of {} bytes held: {} for heads, {} for bodies, {} for responses.",
                 held.total(),
                 self.budget.total_bytes,
+                held.head_bytes,
                 held.body_bytes,
                 held.response_bytes
             );
--- a/crates/ebonytack/src/gateway/memory/budget.rs
+++ b/crates/ebonytack/src/gateway/memory/budget.rs
@@ -24,6 +24,8 @@
 /// What a part of the account is held for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HoldKind {
+    /// The head of a request.
+    Head,
     /// The body of a request.
     Body,
     /// A response, until the caller has received it.
@@ -44,6 +46,8 @@
 /// The bytes held, by kind.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Held {
+    /// For heads of requests.
+    pub head_bytes: usize,
     /// For bodies of requests.
     pub body_bytes: usize,
     /// For responses.
@@ -75,7 +79,7 @@
         let added = to_bytes - from_bytes;
         let fits = self.fits(held, from_bytes, to_bytes);
         match kind {
-            HoldKind::Body => fits,
+            HoldKind::Head | HoldKind::Body => fits,
             HoldKind::Response => {
                 fits && (to_bytes <= SMALL_BYTES
                     || held.response_bytes.saturating_add(added) <= self.responses_bytes)
@@ -102,6 +106,6 @@
 impl Held {
     /// Returns the bytes of all kinds.
     pub fn total(&self) -> usize {
-        self.body_bytes + self.response_bytes
+        self.head_bytes + self.body_bytes + self.response_bytes
     }
 }
--- a/crates/ebonytack/src/gateway/memory/tests.rs
+++ b/crates/ebonytack/src/gateway/memory/tests.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+
 use super::account::MemoryAccount;
 use super::budget::{Budget, Held, HoldKind, SMALL_BYTES};
+use super::head::head_memory_bytes;
 use super::victim::{Candidate, Progress, choose_victim};
 
 const MIB: usize = 1024 * 1024;
@@ -34,7 +37,7 @@
         assert!(budget.total_bytes + connections <= memory_mb * 1_000_000, "{budget:?}");
     }
     let unknown = Budget::new(None);
-    let held = Held { body_bytes: 1 << 40, response_bytes: 0 };
+    let held = Held { body_bytes: 1 << 40, ..Held::default() };
     assert!(unknown.admits(held, HoldKind::Body, 0, 64 * MIB), "bodies are not limited");
     assert!(unknown.admits(held, HoldKind::Response, 0, 32 * MIB));
 }
@@ -44,21 +47,41 @@
 fn small_requests_fit_when_large_ones_do_not() {
     let budget = Budget::new(Some(160));
     let body_bytes = budget.total_bytes / 8 * 7;
-    let held = Held { body_bytes, response_bytes: 0 };
+    let held = Held { body_bytes, ..Held::default() };
     assert!(!budget.admits(held, HoldKind::Body, 0, MIB));
     for kind in [HoldKind::Body, HoldKind::Response] {
         assert!(budget.admits(held, kind, 0, SMALL_BYTES));
     }
-    let full = Held { body_bytes: budget.total_bytes, response_bytes: 0 };
+    let full = Held { body_bytes: budget.total_bytes, ..Held::default() };
     assert!(!budget.admits(full, HoldKind::Body, 0, 1));
     assert!(budget.admits(full, HoldKind::Body, 2, 1), "a hold may always shrink");
 }
 
+/// Guards against heads that are left out of the account, and ordinary ones counted so high that a calm
+/// host refuses them.
+#[test]
+fn head_is_counted_with_its_copies_and_maps() {
+    let headers = |count: usize, bytes: usize| {
+        let value = HeaderValue::from_str(&"v".repeat(bytes)).expect("a header value");
+        let names = (0..count).map(|number| HeaderName::try_from(format!("x-header-{number}")));
+        let mut map = HeaderMap::new();
+        names.for_each(|name| map.append(name.expect("a header name"), value.clone()));
+        map
+    };
+    let ordinary = head_memory_bytes(40, &headers(10, 30));
+    assert!(ordinary < 16 * 1024, "{ordinary}");
+    let connections = Budget::new(Some(160)).connections_max;
+    assert!(connections * ordinary < Budget::new(Some(160)).total_bytes / 4);
+    let large = head_memory_bytes(40, &headers(62, 235));
+    assert!((90 * 1024..160 * 1024).contains(&large), "{large}");
+    assert!(head_memory_bytes(16_000, &headers(0, 0)) > 16_000);
+}
+
 /// Guards against responses without end that leave nothing for bodies.
 #[test]
 fn responses_use_at_most_half_of_the_account() {
     for budget in [Budget::new(Some(160)), Budget::new(None)] {
-        let held = Held { body_bytes: 0, response_bytes: budget.responses_bytes };
+        let held = Held { response_bytes: budget.responses_bytes, ..Held::default() };
         assert!(!budget.admits(held, HoldKind::Response, 0, MIB));
         assert!(budget.admits(held, HoldKind::Response, 0, SMALL_BYTES));
         assert!(budget.admits(held, HoldKind::Body, 0, MIB));
--- a/crates/ebonytack/src/gateway/memory/victim.rs
+++ b/crates/ebonytack/src/gateway/memory/victim.rs
@@ -43,7 +43,7 @@
         return Some(index);
     }
     match requester.kind {
-        HoldKind::Body => {
+        HoldKind::Head | HoldKind::Body => {
             let own = requester.bytes_per_s?;
             let slower = |candidate: &Candidate| {
                 let rate = candidate.bytes_per_s?;
