fix(gateway): refuse an announced body over the limit before asking for it

A caller with `Expect: 100-continue` was asked for a body that the host then refused with 413: the HTTP library confirms the expectation before the handler sees the request. The expectation is now decided by the announced length. Bodies within the limit are asked for as before.

--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_TYPE, EXPECT, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{ConnectionType, HttpMessage, HttpService, Request, Response, StatusCode};
 use actix_service::fn_service;
@@ -25,7 +26,7 @@
 use super::memory::head::head_memory_bytes;
 use super::response_body::ResponseBody;
 use super::shell::{CallerResponse, GatewayShell};
-use super::upload::{BodyError, read_body};
+use super::upload::{BodyError, announced_bytes, read_body};
 use crate::proxy::headers::end_to_end;
 use crate::runtime::{ConnectionTask, connection_service};
 
@@ -48,7 +49,7 @@
 pub(super) async fn service(
     shell: &Rc<GatewayShell>,
 ) -> Result<impl Fn(TcpStream, SocketAddr) -> ConnectionTask + 'static> {
-    let request_shell = Rc::clone(shell);
+    let (request_shell, expect_shell) = (Rc::clone(shell), Rc::clone(shell));
     let shutdown_shell = Rc::clone(shell);
     let factory = HttpService::build()
         .client_request_timeout(HEAD_TIMEOUT)
@@ -63,6 +64,7 @@
         .on_connect_ext(|stream: &CallerStream, extensions| {
             extensions.insert(Rc::clone(&stream.connection));
         })
+        .expect(fn_service(move |request| check_expectation(Rc::clone(&expect_shell), request)))
         .h1(fn_service(move |request| handle(Rc::clone(&request_shell), request)));
     let serve = Rc::new(connection_service(factory).await?);
     let shell = Rc::clone(shell);
@@ -175,6 +177,22 @@
     Ok((incoming, caller_request))
 }
 
+/// Decides on a request with `Expect: 100-continue` before its caller is asked for the body.
+async fn check_expectation(
+    shell: Rc<GatewayShell>,
+    request: Request,
+) -> Result<Request, Response<BoxBody>> {
+    let body_max_bytes = shell.caller_limits().body_max_bytes;
+    if announced_bytes(request.headers()).is_none_or(|bytes| bytes <= body_max_bytes) {
+        return Ok(request);
+    }
+    if let Some(connection) = request.conn_data::<Rc<CallerConnection>>() {
+        connection.set_phase(Phase::Closing);
+    }
+    let request_id = read_request_metadata(request.headers()).request_id;
+    Err(body_refusal(BodyError::TooLarge, &request_id).map_into_boxed_body())
+}
+
 /// Refuses a request whose body was not read, so that the connection cannot be used again.
 fn body_refusal(error: BodyError, request_id: &str) -> Response<ResponseBody> {
     metrics::counter!("ebonytack_limit_refusals_total", "cause" => error.name()).increment(1);
--- a/crates/ebonytack/tests/suite/limits.rs
+++ b/crates/ebonytack/tests/suite/limits.rs
@@ -44,6 +44,28 @@
     assert_eq!(fixture.run_count("o-1"), 0);
 }
 
+/// Guards against a caller that is asked for a body which the host then refuses.
+#[actix_rt::test]
+async fn announced_body_over_the_limit_is_refused_without_100_continue() {
+    let fixture = Fixture::start("expect", &[FAST]).await;
+    let expect = |bytes| format!("content-length: {bytes}\r\nexpect: 100-continue");
+    let head = order_head("o-1", &expect(65_537));
+    let response = read_to_end(send(fixture.host.callers, head.as_bytes()).await).await;
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+    assert!(response.to_lowercase().contains("connection: close"), "{response}");
+    // A body within the limit is asked for.
+    let head = order_head("o-2", &expect(2));
+    let mut stream = send(fixture.host.callers, head.as_bytes()).await;
+    let mut interim = [0; 25];
+    stream.read_exact(&mut interim).await.expect("an interim response");
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"ok").await.expect("the body is sent");
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).await.expect("a response");
+    assert_eq!(&status, b"HTTP/1.1 200");
+    assert_eq!((fixture.run_count("o-1"), fixture.run_count("o-2")), (0, 1));
+}
+
 /// Guards against bodies that arrive byte by byte, each within the time for the next one.
 #[actix_rt::test]
 async fn body_slower_than_its_deadline_is_refused() {
