fix(observe): merge the samples of histograms when nobody reads the metrics

The recorder keeps each sample of a histogram until the metrics are read.

Both ways of running merge the samples every 5 s.

--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -76,6 +76,7 @@
         let service = ready::service(&shell, metrics.clone()).await?;
         Listener::open(address, READY_CONNECTIONS_MAX, service).await?;
     }
+    let merged_metrics = metrics.clone();
     let ready = ready::service(&shell, metrics).await?;
     Listener::open(file.ready, READY_CONNECTIONS_MAX, ready).await?;
     let peers = relay::service(&shell, secret.clone()).await?;
@@ -85,6 +86,7 @@
     actix_rt::spawn(reports.receive_loop(Rc::clone(&shell)));
     actix_rt::spawn(sweep_loop(Rc::clone(&shell)));
     actix_rt::spawn(limits_loop(Rc::clone(&shell)));
+    actix_rt::spawn(observe::merge_samples(merged_metrics));
     actix_rt::spawn(reload_loop(Rc::clone(&shell)));
     let random = Random::new(hash_text(&file.name));
     let clients = Rc::new(SourceClients::new(random, relay::proof_signer(&secret)));
--- a/crates/ebonytack/src/observe/metrics.rs
+++ b/crates/ebonytack/src/observe/metrics.rs
@@ -1,10 +1,15 @@
 //! Prometheus metrics. No label takes a value that a customer can choose, which bounds the number of
 //! time series.
 
+use std::time::Duration;
+
 use ebonytack_core::{Refusal, Revision};
 use eyre::Result;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+/// How often the samples of histograms are merged.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Installs the global recorder and returns the handle that renders the metrics.
 pub(crate) fn start_metrics() -> Result<PrometheusHandle> {
     let handle = PrometheusBuilder::new().install_recorder()?;
@@ -16,6 +21,15 @@
     Ok(handle)
 }
 
+/// Merges the samples of histograms every [`UPKEEP_INTERVAL`]. The recorder keeps each sample until then,
+/// or until the metrics are read, which may never happen. Never returns.
+pub(crate) async fn merge_samples(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Counts a request that got an upstream's response, by status class.
 pub(crate) fn count_request(status: u16) {
     let class = match status {
--- a/crates/ebonytack/src/runtime/serve.rs
+++ b/crates/ebonytack/src/runtime/serve.rs
@@ -13,6 +13,7 @@
 use super::platform_link::PlatformLink;
 use super::trace_writer::TraceWriter;
 use super::{Listener, Shell};
+use crate::observe;
 use crate::settings::Settings;
 use crate::{admin, peer, proxy};
 
@@ -30,6 +31,7 @@
     let entry = host_entry(&settings, &identity);
     let host = Host::new(identity);
     let shell = Shell::new(host, settings, platform.clone(), trace);
+    actix_rt::spawn(observe::merge_samples(metrics.clone()));
     let callers = listen(&shell, metrics).await?;
     log::info!("start: host {} is serving on {}.", shell.settings.host, shell.settings.callers);
     let seed_address = |(host, address): &(HostId, SocketAddr)| PeerAddress {
