--- a/crates/ebonytack/src/gateway/connections/table.rs
+++ b/crates/ebonytack/src/gateway/connections/table.rs
@@ -69,6 +69,11 @@
         connection
     }
 
+    /// Returns how many connections are open.
+    pub(in crate::gateway) fn count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
     /// Removes a connection that was closed.
     pub(in crate::gateway) fn remove(&self, connection: &CallerConnection) {
         self.connections.borrow_mut().remove(&connection.id);
--- a/crates/ebonytack/src/gateway/memory/account.rs
+++ b/crates/ebonytack/src/gateway/memory/account.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::Notify;
 
-use super::budget::{Budget, Held, HoldKind};
+use super::budget::{Budget, CONNECTION_BYTES, Held, HoldKind};
 use super::victim::{Candidate, Progress, choose_victim};
 
 /// Adds up the memory of all requests and responses of the process.
@@ -71,8 +71,8 @@
         Hold { account: Rc::clone(self), id, state: Rc::new(state) }
     }
 
-    /// Updates the metrics, and logs when the account is no longer short.
-    pub(in crate::gateway) fn observe(&self) {
+    /// Updates the metrics, and logs when the account is no longer short. `connections` are open.
+    pub(in crate::gateway) fn observe(&self, connections: usize) {
         let held = self.held.get();
         if self.is_short.get() && self.budget.is_relaxed(held) {
             self.is_short.set(false);
@@ -84,6 +84,7 @@
         set("head", held.head_bytes);
         set("body", held.body_bytes);
         set("response", held.response_bytes);
+        set("connection", connections * CONNECTION_BYTES);
         metrics::gauge!("ebonytack_memory_short").set(f64::from(u8::from(self.is_short.get())));
     }
 
--- a/crates/ebonytack/src/gateway/memory/budget.rs
+++ b/crates/ebonytack/src/gateway/memory/budget.rs
@@ -17,7 +17,7 @@
 const CONNECTIONS_DIVISOR: usize = 5;
 /// What a connection of a caller holds besides bodies. With half a head, 580 connections added 5 MB
 /// (9 KiB each); with a head of 16 KiB that is almost complete, one holds up to 36 KiB.
-const CONNECTION_BYTES: usize = 28 * 1024;
+pub const CONNECTION_BYTES: usize = 28 * 1024;
 /// Up to this size a hold may use the reserve.
 pub const SMALL_BYTES: usize = 64 * 1024;
 
--- a/crates/ebonytack/src/gateway/ready.rs
+++ b/crates/ebonytack/src/gateway/ready.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::shell::GatewayShell;
+use crate::observe;
 use crate::runtime::{ConnectionTask, connection_service};
 
 /// Returns the handler for connections to the `ready` and `metrics` listeners.
@@ -32,7 +33,11 @@
     let (status, body) = match path {
         READY_PATH if shell.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        "/metrics" => (StatusCode::OK, metrics.render()),
+        "/metrics" => {
+            shell.memory.observe(shell.connections.count());
+            observe::set_resident_memory();
+            (StatusCode::OK, metrics.render())
+        }
         _ => (StatusCode::NOT_FOUND, "There is nothing here.\n".to_owned()),
     };
     Response::build(status).body(body).map_into_boxed_body()
--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -137,7 +137,7 @@
     loop {
         tokio::time::sleep(LIMITS_INTERVAL).await;
         shell.connections.sweep(&shell.time_limits());
-        shell.memory.observe();
+        shell.memory.observe(shell.connections.count());
     }
 }
 
--- a/crates/ebonytack/src/observe/metrics.rs
+++ b/crates/ebonytack/src/observe/metrics.rs
@@ -54,6 +54,16 @@
     metrics::gauge!("ebonytack_shortage_level", "service" => service).set(f64::from(level));
 }
 
+/// Sets the gauge of the resident memory of the process, if the system tells it.
+pub(crate) fn set_resident_memory() {
+    let Ok(status) = std::fs::read_to_string("/proc/self/status") else { return };
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    if let Some(kib) = kib {
+        metrics::gauge!("ebonytack_process_resident_bytes").set(kib * 1024.0);
+    }
+}
+
 /// Sets the gauge of the configuration revision in force.
 pub(crate) fn set_revision(revision: Revision) {
     metrics::gauge!("ebonytack_revision").set(revision as f64);
--- a/crates/ebonytack/tests/limits/limited_host.rs
+++ b/crates/ebonytack/tests/limits/limited_host.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ebonytack_stand_in::{Behaviour, StandInInstance, StandInStore, configuration};
+use ebonytack_stand_in::{Behaviour, StandInInstance, StandInStore, configuration, metrics};
 use serde_json::json;
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -25,6 +25,14 @@
     pub(crate) body_max_bytes: usize,
 }
 
+/// What a host's metrics say of its memory.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MemoryMetrics {
+    /// All parts of the account, connections included.
+    pub(crate) held_bytes: f64,
+    pub(crate) resident_bytes: f64,
+}
+
 /// A memory of 64 MB and bodies of up to 4 MiB.
 pub(crate) const SMALL: HostLimits =
     HostLimits { memory_mb: 64, descriptors: 1_000, body_max_bytes: 4 * 1024 * 1024 };
@@ -87,6 +95,20 @@
         self.host.callers
     }
 
+    /// Returns what the host's metrics say of its memory.
+    pub(crate) async fn memory(&self) -> MemoryMetrics {
+        let text = metrics(self.host.ready).await;
+        let sum = |name: &str| {
+            let samples = text.lines().filter(|line| line.starts_with(name));
+            let values = samples.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            values.sum::<f64>()
+        };
+        MemoryMetrics {
+            held_bytes: sum("ebonytack_memory_held_bytes"),
+            resident_bytes: sum("ebonytack_process_resident_bytes"),
+        }
+    }
+
     /// Replaces the address of an instance by that of another server.
     pub(crate) async fn replace_instance(&self, index: usize, address: SocketAddr) {
         let instance = &self.instances[index];
