fix(gateway): listen for signals before anything else

A SIGHUP in the first milliseconds of a process ended it, since its listener was installed by a task after the start. All listeners are installed first now.

Before the program runs a signal still ends it.

--- a/crates/ebonytack/src/gateway/serve.rs
+++ b/crates/ebonytack/src/gateway/serve.rs
@@ -9,7 +9,7 @@
 use ebonytack_wire::FleetSecret;
 use eyre::Result;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::connections::limits::callers_max;
 use super::follow::follow_table;
@@ -46,12 +46,41 @@
 
 /// Serves until a graceful shutdown is complete.
 pub(crate) fn run(file: SettingsFile) -> Result<()> {
-    let log = LogQueue::start(&file.name)?;
-    let metrics = observe::start_metrics()?;
-    actix_rt::System::new().block_on(serve(file, log, metrics))
+    actix_rt::System::new().block_on(async {
+        // First of all, since a signal without a listener ends the process.
+        let signals = Signals::listen()?;
+        let log = LogQueue::start(&file.name)?;
+        let metrics = observe::start_metrics()?;
+        serve(file, signals, log, metrics).await
+    })
 }
 
-async fn serve(file: SettingsFile, log: LogQueue, metrics: PrometheusHandle) -> Result<()> {
+/// The signals to which a host listens.
+struct Signals {
+    /// Reloads the settings.
+    hang_up: Signal,
+    /// Starts a graceful shutdown, as does `interrupt`.
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self> {
+        Ok(Self {
+            hang_up: signal(SignalKind::hangup())?,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
+async fn serve(
+    file: SettingsFile,
+    signals: Signals,
+    log: LogQueue,
+    metrics: PrometheusHandle,
+) -> Result<()> {
+    let Signals { hang_up, terminate, interrupt } = signals;
     // The start time is the incarnation. A clock before 1970 counts as zero; peers that know an
     // earlier process of this host then ignore the reports of this one.
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -87,7 +116,7 @@
     actix_rt::spawn(sweep_loop(Rc::clone(&shell)));
     actix_rt::spawn(limits_loop(Rc::clone(&shell)));
     actix_rt::spawn(observe::merge_samples(merged_metrics));
-    actix_rt::spawn(reload_loop(Rc::clone(&shell)));
+    actix_rt::spawn(reload_loop(Rc::clone(&shell), hang_up));
     let random = Random::new(hash_text(&file.name));
     let clients = Rc::new(SourceClients::new(random, relay::proof_signer(&secret)));
     for table in [Table::Operator, Table::Instances, Table::Members] {
@@ -99,7 +128,7 @@
         ));
     }
     shell.feed(Event::Tick);
-    wait_for_stop(&shell, callers).await?;
+    wait_for_stop(&shell, callers, terminate, interrupt).await;
     log::info!("stop: complete.");
     shell.log.flush();
     Ok(())
@@ -142,14 +171,7 @@
 }
 
 /// Reloads the settings on SIGHUP, and within [`RELOAD_INTERVAL`] when the file has changed.
-async fn reload_loop(shell: Rc<GatewayShell>) {
-    let mut hang_up = match signal(SignalKind::hangup()) {
-        Ok(hang_up) => hang_up,
-        Err(error) => {
-            log::error!("reload: cannot listen for SIGHUP: {error}.");
-            return;
-        }
-    };
+async fn reload_loop(shell: Rc<GatewayShell>, mut hang_up: Signal) {
     loop {
         let on_signal = tokio::select! {
             _ = hang_up.recv() => true,
@@ -181,9 +203,12 @@
 /// Waits for SIGTERM or SIGINT and shuts down gracefully: still accepts connections for up to
 /// [`DRAIN_TIME`], then stops listening, closes idle connections, and waits for the requests in flight
 /// and until callers have received their responses, as long as the grace period allows.
-async fn wait_for_stop(shell: &Rc<GatewayShell>, callers: Listener) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+async fn wait_for_stop(
+    shell: &Rc<GatewayShell>,
+    callers: Listener,
+    mut terminate: Signal,
+    mut interrupt: Signal,
+) {
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -204,5 +229,4 @@
     if tokio::time::timeout(remaining + REFUSAL_TIME, finished).await.is_err() {
         log::warn!("stop: requests were still in flight at the end of the grace period.");
     }
-    Ok(())
 }
