--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -20,12 +20,6 @@
 const GRANTED_SHARE: f64 = 0.97;
 /// Debt at which nothing is admitted, in seconds of the granted rate.
 const DEBT_MAX_S: f64 = 0.2;
-/// Demand up to which a customer may be within its rate, as a multiple of the granted rate: the estimate
-/// varies with the moments at which requests arrive.
-const NOISY_DEMAND_FACTOR: f64 = 2.0;
-/// Additional debt of such a customer in requests, over all hosts. Below the part of the platform's
-/// tolerance that does not grow with the rate.
-const NOISE_DEBT_MAX: f64 = 10.0;
 /// Share of a full bucket at or above which all requests are admitted, without random rejection.
 const ADMIT_ALL_LEVEL_SHARE: f64 = 0.5;
 
@@ -165,10 +159,6 @@
         } else if full < 1.0 {
             // The bucket never holds a whole token, so its level is the probability of admission.
             sample < self.level
-        } else if fleet_demand <= granted * NOISY_DEMAND_FACTOR
-            && self.level > -granted * DEBT_MAX_S - NOISE_DEBT_MAX * live_share
-        {
-            true
         } else if self.level <= -granted * DEBT_MAX_S {
             false
         } else if fleet_demand <= granted * ADMIT_ALL_DEMAND_SHARE
