fix(gateway): stop the clock of a blocked writer when its connection ends

A connection whose writer was blocked when the HTTP library gave up would have been closed and counted again every 0.5 s while its end is awaited. Found by reading; no test, as nothing but the counter shows it.

--- a/crates/ebonytack/src/gateway/connections/table.rs
+++ b/crates/ebonytack/src/gateway/connections/table.rs
@@ -178,6 +178,8 @@
                     self.table.enqueue(self.id, self.waits.get());
                 }
             }
+            // Nothing is written any more.
+            Phase::Ending => self.write_blocked_since.set(None),
             _ => {}
         }
     }
