perf(gateway): skip the end of a connection that its caller has closed

Most connections end because their callers close them; nothing is under way then. They are closed at once again, without a shutdown, a read and a timer. The size of a request's target is taken from its parts, without building it as text.

--- a/crates/ebonytack/src/gateway/callers.rs
+++ b/crates/ebonytack/src/gateway/callers.rs
@@ -81,13 +81,13 @@
                 header_max_bytes,
                 shell.time_limits(),
             );
-            let is_complete = tokio::select! {
+            let ended_by_itself = tokio::select! {
                 () = serve(stream, from) => true,
                 () = connection.closed.notified() => false,
             };
+            let may_be_under_way = ended_by_itself && !connection.is_closed_by_caller.get();
             // The HTTP library has dropped its part of the socket.
-            let socket = Rc::into_inner(socket).filter(|_| is_complete);
-            if let Some(socket) = socket {
+            if let Some(socket) = Rc::into_inner(socket).filter(|_| may_be_under_way) {
                 connection.set_phase(Phase::Ending);
                 close_after_delivery(socket.into_inner(), connection.delivery.get()).await;
             }
@@ -151,7 +151,8 @@
     metadata: RequestMetadata,
 ) -> Result<(IncomingRequest, CallerRequest), BodyError> {
     let head_hold = shell.memory.hold(HoldKind::Head);
-    let target_bytes = request.uri().to_string().len();
+    let target = request.uri().path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
     if !head_hold.resize(head_memory_bytes(target_bytes, request.headers())) {
         return Err(BodyError::NoMemory);
     }
--- a/crates/ebonytack/src/gateway/connections/stream.rs
+++ b/crates/ebonytack/src/gateway/connections/stream.rs
@@ -78,6 +78,8 @@
         self.turn_bytes += count;
         if count > 0 {
             self.connection.on_read(count);
+        } else if room > 0 {
+            self.connection.is_closed_by_caller.set(true);
         }
         if self.connection.phase() == Phase::Head
             && self.connection.head_bytes() > self.head_max_bytes
--- a/crates/ebonytack/src/gateway/connections/table.rs
+++ b/crates/ebonytack/src/gateway/connections/table.rs
@@ -42,6 +42,8 @@
     pub(super) write_blocked_since: Cell<Option<Instant>>,
     /// When the caller has received what was written.
     pub(in crate::gateway) delivery: Cell<Delivery>,
+    /// Whether the caller has closed its side.
+    pub(in crate::gateway) is_closed_by_caller: Cell<bool>,
     /// Signalled when the connection has to be closed.
     pub(in crate::gateway) closed: Rc<Notify>,
 }
@@ -62,6 +64,7 @@
             reader: RefCell::default(),
             write_blocked_since: Cell::new(None),
             delivery: Cell::new(Delivery::new(Instant::now())),
+            is_closed_by_caller: Cell::new(false),
             closed: Rc::default(),
         });
         self.connections.borrow_mut().insert(id, Rc::clone(&connection));
