test(gateway): stop host processes at 20 moments of a load

Whatever a connection is doing at SIGTERM, a request that an instance has run has a whole response, and a "not run" is true: kept and new connections, lookups sent ahead, heads and bodies in two parts, SIGHUP before and after, a second SIGTERM.

--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod slow_readers;
 mod sources;
+mod stop_moments;
 mod stopping;
 
 use std::path::PathBuf;
