test(limits): show that endless requests of callers end and hold little memory

Nine kinds of requests without end (target, header value and lines, chunk extension, size, chunks, trailers, empty lines, garbage), 20 callers each, at full speed and a byte every 0.1 s, at a host of 64 MB: each connection ends within the time for a head or a body and for closing it, and an ordinary caller gets 200 for each of its 20 requests meanwhile.

--- a/crates/ebonytack/tests/limits/main.rs
+++ b/crates/ebonytack/tests/limits/main.rs
@@ -9,6 +9,7 @@
 mod bodies;
 mod connections;
 mod crowd;
+mod endless_requests;
 mod heads;
 #[expect(dead_code, reason = "shared with the tests of the suite, which use more of it")]
 #[path = "../suite/host.rs"]
--- a/crates/ebonytack/tests/suite/stop_moments.rs
+++ b/crates/ebonytack/tests/suite/stop_moments.rs
@@ -128,7 +128,7 @@
     tokio::time::sleep(stop_at).await;
     let stopped_at = Instant::now();
     for (signal, every) in [(Signal::SIGHUP, 2), (Signal::SIGTERM, 1), (Signal::SIGHUP, 3)] {
-        if seed % every == 0 {
+        if seed.is_multiple_of(every) {
             fixture.host.signal(signal);
             tokio::time::sleep(Duration::from_millis(random.below(30) as u64)).await;
         }
