--- a/crates/ebonytack/src/gateway/memory/tests.rs
+++ b/crates/ebonytack/src/gateway/memory/tests.rs
@@ -72,6 +72,7 @@
     assert!(ordinary < 16 * 1024, "{ordinary}");
     let connections = Budget::new(Some(160)).connections_max;
     assert!(connections * ordinary < Budget::new(Some(160)).total_bytes / 4);
+    // The review of large heads found some 110 KB for such a request.
     let large = head_memory_bytes(40, &headers(62, 235));
     assert!((90 * 1024..160 * 1024).contains(&large), "{large}");
     assert!(head_memory_bytes(16_000, &headers(0, 0)) > 16_000);
