fix(http): fail a response without a length whose connection is reset during the upload

Callers got a part of a body as a complete success: an instance answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the request was still being written.

Cause: the kernel reports a reset once. When the write of the upload gets the error, the next read returns 0, as if the peer had ended its stream, and the exchange took that for the end of the body. Whether the read or the write learns of the reset was decided by the order in which `select!` polls them.

Ruled out: reading before writing at each turn. The reset can arrive between the two polls. Uploads that the socket takes at once are not concerned, since no write is left that could take the error.

Change: the writer keeps the error with which it failed. A body that ends with its connection is complete only if nothing was left to write, or, for an error response, if the peer ended its stream properly: no failed write, or `BrokenPipe`, which the kernel reports for a reset after the end of the stream. A success before the whole request was sent fails even after a proper end: an instance that dies with nothing unread ends its stream in the same way, and nothing else shows that the body is whole. An error response is delivered, since a peer rejects a large body like this (RFC 9112, section 9.5). A response with a length or in chunks is complete by its framing, as before.

--- /dev/null
+++ b/crates/ebonytack/tests/suite/broken_responses.rs
@@ -0,0 +1,67 @@
+//! What callers of a host process receive when its instance sends broken responses.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonytack_stand_in::{BrokenResponse, Caller, RawInstance, configuration};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::host::{FAST, Fixture, KEY};
+
+/// More than the sockets between a host and an instance hold.
+const UPLOAD_BYTES: usize = 16 * 1024 * 1024;
+const UPLOADS: u32 = 10;
+const ID: &str = "o-1";
+
+/// A host whose only instance sends broken responses.
+struct BrokenFixture {
+    fixture: Fixture,
+    instance: RawInstance,
+    response: Rc<RefCell<BrokenResponse>>,
+}
+
+impl BrokenFixture {
+    async fn start(name: &str, response: BrokenResponse) -> Self {
+        let fixture = Fixture::start(name, &[FAST]).await;
+        let mut with_uploads = configuration(2, &[KEY]);
+        with_uploads["limits"]["maxBodyBytes"] = json!(2 * UPLOAD_BYTES);
+        fixture.store.put_configuration(&with_uploads);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let response = Rc::new(RefCell::new(response));
+        let instance = RawInstance::broken_on(listener, Rc::clone(&response));
+        let instance = instance.expect("an instance starts");
+        let registration = fixture.instances[0].registration_at(instance.address, "stock", "ready");
+        fixture.store.put_instance(fixture.instances[0].id(), Some(registration));
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        Self { fixture, instance, response }
+    }
+}
+
+/// Guards against a part of a body that reaches the caller as a complete success, because the instance
+/// resets the connection while the upload is being written.
+#[actix_rt::test]
+async fn early_success_that_is_reset_does_not_reach_the_caller() {
+    let response = BrokenResponse::reset_without_length(ID, Duration::ZERO);
+    let broken = BrokenFixture::start("reset", response).await;
+    let body = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    for path in ["/order/1", "/lookup/1"] {
+        let (mut statuses, mut answered) = (Vec::new(), 0);
+        for pause_ms in [0, 5, 50] {
+            let pause = Duration::from_millis(pause_ms);
+            *broken.response.borrow_mut() = BrokenResponse::reset_without_length(ID, pause);
+            let before = broken.instance.broken_responses();
+            for _ in 0..UPLOADS {
+                let mut caller = Caller::new(broken.fixture.host.callers);
+                let sent = caller.send_with_body(path, ID, KEY, 2_000, Some(body.clone())).await;
+                statuses.push(sent.expect("a response").status.as_u16());
+            }
+            answered += broken.instance.broken_responses() - before;
+        }
+        let successes = statuses.iter().filter(|status| (200..300).contains(*status)).count();
+        assert_eq!(successes, 0, "{path}: {statuses:?}");
+        assert!(answered >= UPLOADS, "{path}: the instance answered {answered} of {statuses:?}");
+    }
+}
--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the binary: settings validation, and hosts in `gateway` mode.
 
+mod broken_responses;
 mod evacuation;
 mod gateway;
 mod host;
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sending one request and receiving its response on one connection.
 
 use std::fmt;
-use std::io::IoSlice;
+use std::io::{ErrorKind as IoErrorKind, IoSlice};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -93,13 +93,22 @@
             tokio::select! {
                 response = response_reader.read_response(&mut reader, self) => break response,
                 () = request_writer.write_chunk(&mut writer), if request_writer.is_pending() => {
-                    if request_writer.failed && !request_writer.has_written {
+                    if request_writer.failure.is_some() && !request_writer.has_written {
                         return Err(ExchangeError::unsent(ExchangeErrorKind::Broken));
                     }
                 }
             }
         };
-        let (response, keep_open) = outcome?;
+        let (response, end) = outcome?;
+        let keep_open = match end {
+            ResponseEnd::Framing { keep_open } => keep_open,
+            ResponseEnd::Connection if request_writer.allows_close_delimited(response.status) => {
+                false
+            }
+            ResponseEnd::Connection => {
+                return Err(ExchangeError::sent(ExchangeErrorKind::Broken));
+            }
+        };
         let request_complete = request_writer.is_complete();
         let buffer_empty = response_reader.buffer.is_empty();
         if let Some(MemoryGrant(grant)) = &self.memory {
@@ -137,12 +146,13 @@
     /// The segments after `current`.
     later: &'a [Bytes],
     has_written: bool,
-    failed: bool,
+    /// The error with which writing ended.
+    failure: Option<IoErrorKind>,
 }
 
 impl<'a> RequestWriter<'a> {
     fn new(head: &'a [u8], segments: &'a [Bytes]) -> Self {
-        Self { current: head, later: segments, has_written: false, failed: false }
+        Self { current: head, later: segments, has_written: false, failure: None }
     }
 
     fn is_complete(&self) -> bool {
@@ -150,7 +160,24 @@
     }
 
     fn is_pending(&self) -> bool {
-        !self.failed && !self.is_complete()
+        self.failure.is_none() && !self.is_complete()
+    }
+
+    /// Returns whether a response with this status that ends with its connection may be complete.
+    ///
+    /// The kernel reports a reset once, either to a write or to a read. If a write gets the error, reads
+    /// report the end of the stream as if the peer had closed it. `BrokenPipe` means that the peer had
+    /// ended its stream before the reset.
+    ///
+    /// A peer that ends its stream before it has received the request either rejects the request
+    /// (RFC 9112, section 9.5) or has failed while responding, so only an error may be complete.
+    fn allows_close_delimited(&self, status: StatusCode) -> bool {
+        let is_error = status.is_client_error() || status.is_server_error();
+        match self.failure {
+            None => self.is_complete() || is_error,
+            Some(IoErrorKind::BrokenPipe) => is_error,
+            Some(_) => false,
+        }
     }
 
     /// Writes as much as the socket takes at once. Cancel-safe.
@@ -164,7 +191,8 @@
             count += 1;
         }
         match writer.write_vectored(&slices[..count]).await {
-            Ok(0) | Err(_) => self.failed = true,
+            Err(error) => self.failure = Some(error.kind()),
+            Ok(0) => self.failure = Some(IoErrorKind::WriteZero),
             Ok(written) => {
                 self.has_written = true;
                 self.advance(written);
@@ -185,6 +213,18 @@
     }
 }
 
+/// What marks the end of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResponseEnd {
+    /// Its length or its last chunk.
+    Framing {
+        /// Whether the connection stays open.
+        keep_open: bool,
+    },
+    /// The end of the connection.
+    Connection,
+}
+
 struct ResponseReader {
     /// `None` only while [`ResponseReader::take_response`] runs, and after it has failed.
     codec: Option<ClientCodec>,
@@ -220,13 +260,13 @@
         }
     }
 
-    /// Reads until the response to this exchange is complete; returns it and whether the connection
-    /// stays open. Cancel-safe: no received bytes are lost when the future is dropped.
+    /// Reads until the response to this exchange is complete; returns it and what marks its end.
+    /// Cancel-safe: no received bytes are lost when the future is dropped.
     async fn read_response(
         &mut self,
         reader: &mut ReadHalf<'_>,
         exchange: &Exchange,
-    ) -> Result<(IncomingResponse, bool), ExchangeError> {
+    ) -> Result<(IncomingResponse, ResponseEnd), ExchangeError> {
         loop {
             while let Some((response, keep_open)) =
                 self.take_response(false, exchange.body_max_bytes)?
@@ -235,7 +275,7 @@
                     continue;
                 }
                 if self.is_expected(&response, exchange)? {
-                    return Ok((response, keep_open));
+                    return Ok((response, ResponseEnd::Framing { keep_open }));
                 }
                 self.may_be_copy = true;
                 self.mismatched += 1;
@@ -285,11 +325,16 @@
         }
     }
 
-    /// Completes a close-delimited response after the peer has closed the connection without a
-    /// reset. Any other incomplete response fails with [`ExchangeErrorKind::Broken`].
-    fn on_eof(&mut self, exchange: &Exchange) -> Result<(IncomingResponse, bool), ExchangeError> {
+    /// Completes a close-delimited response at the end of the stream. Any other incomplete response
+    /// fails with [`ExchangeErrorKind::Broken`].
+    fn on_eof(
+        &mut self,
+        exchange: &Exchange,
+    ) -> Result<(IncomingResponse, ResponseEnd), ExchangeError> {
         match self.take_response(true, exchange.body_max_bytes)? {
-            Some((response, _)) if self.is_expected(&response, exchange)? => Ok((response, false)),
+            Some((response, _)) if self.is_expected(&response, exchange)? => {
+                Ok((response, ResponseEnd::Connection))
+            }
             _ => Err(ExchangeError::sent(ExchangeErrorKind::Broken)),
         }
     }
