refactor(http): move the connections whose end is an error to ebonytack-http

Other clients of the fleet need them too. No change of behaviour: path::response_that_breaks_off_is_no_complete_success, path::response_without_a_length_is_not_delivered_as_an_empty_one and broken_responses::part_of_a_response_is_no_success pass as before.

--- a/crates/ebonytack/src/upstream/clients.rs
+++ b/crates/ebonytack/src/upstream/clients.rs
@@ -6,16 +6,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::Uri;
-use actix_rt::net::TcpStream;
 use actix_rt::task::JoinHandle;
-use actix_service::ServiceExt;
-use actix_tls::connect::{Connection, ConnectorService};
 use ebonytack_core::{AttemptId, AttemptOutcome, Event, InstanceId, ServiceId};
+use ebonytack_http::strict_connector;
 
 use super::OutgoingRequest;
 use super::attempt::{outcome_of, run_attempt};
-use super::strict_stream::StrictStream;
 use crate::runtime::Shell;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -106,12 +102,7 @@
 }
 
 fn new_client() -> awc::Client {
-    let connect = ConnectorService::default().map(|connection: Connection<Uri, TcpStream>| {
-        let (stream, uri) = connection.into_parts();
-        Connection::new(uri, StrictStream(stream))
-    });
-    let connector = awc::Connector::new()
-        .connector(connect)
+    let connector = strict_connector()
         .timeout(CONNECT_TIMEOUT)
         .limit(CONNECTIONS_PER_INSTANCE)
         .conn_keep_alive(KEEP_ALIVE);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,9 +11,11 @@
 mod error;
 mod exchange;
 mod response;
+mod strict_stream;
 
 pub use body::{Body, BodyBuffer, SEGMENT_BYTES};
 pub use connection::{ConnectSettings, Connection};
 pub use error::{ExchangeError, ExchangeErrorKind};
 pub use exchange::{Exchange, MemoryGrant, OutgoingRequest};
 pub use response::IncomingResponse;
+pub use strict_stream::strict_connector;
--- a/crates/ebonytack/src/upstream/strict_stream.rs
+++ b/crates/http/src/strict_stream.rs
@@ -1,16 +1,36 @@
-//! Connections to upstreams whose end is an error.
+//! Connections of the HTTP client library whose end is an error.
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use actix_http::Uri;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::{Service, ServiceExt};
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Returns a connector for HTTP clients whose connections report the peer's close as an error.
+pub fn strict_connector() -> awc::Connector<
+    impl Service<
+        ConnectInfo<Uri>,
+        Response = Connection<Uri, StrictStream>,
+        Error = ConnectError,
+        Future: 'static,
+    > + Clone
+    + 'static,
+> {
+    let connect = ConnectorService::default().map(|connection: Connection<Uri, TcpStream>| {
+        let (stream, uri) = connection.into_parts();
+        Connection::new(uri, StrictStream(stream))
+    });
+    awc::Connector::new().connector(connect)
+}
+
 /// A connection on which the peer's close is an error. The client takes it for the end of a body,
 /// even in the middle of one with a length or in chunks; a complete response ends before the close.
 #[derive(Debug)]
-pub(super) struct StrictStream(pub(super) TcpStream);
+pub struct StrictStream(TcpStream);
 
 impl AsyncRead for StrictStream {
     fn poll_read(
