fix(http): fail a response whose status is above 599

Callers got "HTTP/1.1 600 <unknown status code>" with the instance's body and signature, or 999, when an instance sent such a status line (RFC 9110, section 15: values outside 100 to 599 are invalid).

Cause: the parser of the HTTP library takes any status from 100 to 999, and nothing else checked it.

Ruled out: 000, 099, 20, 2000, other versions of HTTP and the other odd status lines of the table. They failed before and still do; the tests keep them. Parts of responses failed before, too.

Change: a check of the bytes of a head, before the parser gets them. It serves the exchange, and the connections of `run` mode, where the client library shows only the parsed head.

--- a/crates/ebonytack/tests/suite/broken_responses.rs
+++ b/crates/ebonytack/tests/suite/broken_responses.rs
@@ -1,11 +1,15 @@
 //! What callers of a host process receive when its instance sends broken responses.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use ebonytack_stand_in::{BrokenResponse, Caller, RawInstance, configuration};
+use ebonytack_stand_in::{
+    BrokenResponse, Caller, RawInstance, configuration, invalid_status_lines, send_raw,
+    signed_headers, truncated_responses,
+};
 use serde_json::json;
 use tokio::net::TcpListener;
 
@@ -38,6 +42,21 @@
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         Self { fixture, instance, response }
     }
+
+    /// Sends requests until the instance answers one, and returns what its caller receives.
+    async fn receive(&self, path: &str) -> String {
+        let (answered, until) =
+            (self.instance.broken_responses(), Instant::now() + Duration::from_secs(10));
+        while Instant::now() < until {
+            let received = send_raw(self.fixture.host.callers, path, ID, KEY).await;
+            let received = received.expect("the host responds");
+            if self.instance.broken_responses() > answered {
+                return String::from_utf8_lossy(&received).into_owned();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no request reaches the instance");
+    }
 }
 
 /// Guards against a part of a body that reaches the caller as a complete success, because the instance
@@ -65,3 +84,31 @@
         assert!(answered >= UPLOADS, "{path}: the instance answered {answered} of {statuses:?}");
     }
 }
+
+/// Asserts that the caller gets a failure of the host for each of these responses.
+async fn assert_failure(name: &str, responses: Vec<BrokenResponse>) {
+    let broken = BrokenFixture::start(name, responses[0].clone()).await;
+    let mut passed_on = BTreeMap::new();
+    for response in responses {
+        let name = response.name.clone();
+        *broken.response.borrow_mut() = response;
+        let received = broken.receive("/order/1").await;
+        let is_failure = received.starts_with("HTTP/1.1 502 ");
+        if !is_failure || received.contains("odd") || received.contains("seal") {
+            passed_on.insert(name, received);
+        }
+    }
+    assert!(passed_on.is_empty(), "{} passed on: {passed_on:#?}", passed_on.len());
+}
+
+/// Guards against a status that is none, passed on to the caller.
+#[actix_rt::test]
+async fn response_with_an_invalid_status_line_does_not_reach_the_caller() {
+    assert_failure("status-line", invalid_status_lines(&signed_headers(ID), "hello")).await;
+}
+
+/// Guards against a part of a response that reaches the caller.
+#[actix_rt::test]
+async fn part_of_a_response_does_not_reach_the_caller() {
+    assert_failure("truncated", truncated_responses(&signed_headers(ID), "hello")).await;
+}
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::error::{ExchangeError, ExchangeErrorKind};
+use crate::head_check::HeadCheck;
 use crate::{Body, BodyBuffer, Connection, IncomingResponse, SEGMENT_BYTES};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -349,6 +350,9 @@
         let malformed = ExchangeError::sent(ExchangeErrorKind::Malformed);
         let mut codec = self.codec.take().ok_or(malformed)?;
         if self.head.is_none() {
+            if !HeadCheck::default().accepts(&self.buffer) {
+                return Err(malformed);
+            }
             self.head = codec.decode(&mut self.buffer).map_err(|_| malformed)?;
         }
         let Some(head) = &self.head else {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod connection;
 mod error;
 mod exchange;
+mod head_check;
 mod response;
 mod strict_stream;
 
--- a/crates/http/src/strict_stream.rs
+++ b/crates/http/src/strict_stream.rs
@@ -10,7 +10,10 @@
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Returns a connector for HTTP clients whose connections report the peer's close as an error.
+use crate::head_check::HeadCheck;
+
+/// Returns a connector for HTTP clients whose connections report the peer's close, and the head of a
+/// response that the client would misread, as an error.
 pub fn strict_connector() -> awc::Connector<
     impl Service<
         ConnectInfo<Uri>,
@@ -22,7 +25,7 @@
 > {
     let connect = ConnectorService::default().map(|connection: Connection<Uri, TcpStream>| {
         let (stream, uri) = connection.into_parts();
-        Connection::new(uri, StrictStream(stream))
+        Connection::new(uri, StrictStream { stream, head_check: HeadCheck::default() })
     });
     awc::Connector::new().connector(connect)
 }
@@ -30,7 +33,12 @@
 /// A connection on which the peer's close is an error. The client takes it for the end of a body,
 /// even in the middle of one with a length or in chunks; a complete response ends before the close.
 #[derive(Debug)]
-pub struct StrictStream(TcpStream);
+pub struct StrictStream {
+    stream: TcpStream,
+    /// Invariant: begins anew with each write. The client reads a response only after it has written the
+    /// whole request, so the first byte that it reads then is that of a head.
+    head_check: HeadCheck,
+}
 
 impl AsyncRead for StrictStream {
     fn poll_read(
@@ -39,12 +47,18 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let (before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
-        match Pin::new(&mut self.0).poll_read(context, buffer) {
-            Poll::Ready(Ok(())) if has_room && buffer.filled().len() == before => {
-                Poll::Ready(Err(ErrorKind::UnexpectedEof.into()))
-            }
-            poll => poll,
+        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if !matches!(poll, Poll::Ready(Ok(()))) {
+            return poll;
+        }
+        let received = &buffer.filled()[before..];
+        if has_room && received.is_empty() {
+            return Poll::Ready(Err(ErrorKind::UnexpectedEof.into()));
+        }
+        if !self.head_check.accepts(received) {
+            return Poll::Ready(Err(ErrorKind::InvalidData.into()));
         }
+        poll
     }
 }
 
@@ -54,7 +68,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(context, bytes)
+        self.head_check = HeadCheck::default();
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -62,28 +77,29 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(context, slices)
+        self.head_check = HeadCheck::default();
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
 impl ActixStream for StrictStream {
     fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, context)
+        ActixStream::poll_read_ready(&self.stream, context)
     }
 
     fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, context)
+        ActixStream::poll_write_ready(&self.stream, context)
     }
 }
--- a/crates/http/tests/suite/early_response.rs
+++ b/crates/http/tests/suite/early_response.rs
@@ -22,9 +22,9 @@
     /// Closes it while bytes of the request are unread, for which the kernel resets it.
     CloseUnread,
     /// Ends its stream, and keeps the connection.
-    EndStream,
+    Shutdown,
     /// Ends its stream, and reads the request to its end.
-    EndStreamAndRead,
+    ShutdownAndRead,
 }
 
 /// Starts a peer that reads 1 KiB of the request, sends `response` and ends the connection after
@@ -45,11 +45,11 @@
                 let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             }
             End::CloseUnread => {}
-            End::EndStream => {
+            End::Shutdown => {
                 stream.shutdown().await.expect("the stream ends");
                 tokio::time::sleep(Duration::from_secs(5)).await;
             }
-            End::EndStreamAndRead => {
+            End::ShutdownAndRead => {
                 stream.shutdown().await.expect("the stream ends");
                 while matches!(stream.read(&mut buffer).await, Ok(1..)) {}
             }
@@ -101,7 +101,7 @@
 /// without a reset: a success before the whole request was sent does not show that it is whole.
 #[actix_rt::test]
 async fn early_success_without_a_length_is_incomplete() {
-    for end in [End::EndStream, End::EndStreamAndRead] {
+    for end in [End::Shutdown, End::ShutdownAndRead] {
         for response in [
             "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nsixteen bytes of",
             "HTTP/1.1 302 Found\r\nx-id: mine\r\nlocation: /\r\n\r\nsixteen bytes of",
@@ -116,7 +116,7 @@
 #[actix_rt::test]
 async fn early_error_without_a_length_is_complete_after_an_orderly_end() {
     let response = "HTTP/1.1 413 Too Large\r\nx-id: mine\r\n\r\ntoo large";
-    for end in [End::EndStream, End::EndStreamAndRead] {
+    for end in [End::Shutdown, End::ShutdownAndRead] {
         for _ in 0..EXCHANGES {
             let (status, body) = upload(response, Duration::ZERO, end).await.expect("a response");
             assert_eq!((status, &body[..]), (413, &b"too large"[..]), "{end:?}");
@@ -128,7 +128,7 @@
 #[actix_rt::test]
 async fn early_response_with_a_length_is_complete_after_a_reset() {
     let response = "HTTP/1.1 200 OK\r\nx-id: mine\r\ncontent-length: 5\r\n\r\nhello";
-    for end in [End::Reset, End::CloseUnread, End::EndStream] {
+    for end in [End::Reset, End::CloseUnread, End::Shutdown] {
         for _ in 0..EXCHANGES {
             let outcome = upload(response, Duration::from_millis(20), end).await;
             let (status, body) = outcome.expect("a response");
--- a/crates/http/tests/suite/main.rs
+++ b/crates/http/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Exchanges against a peer that sends fixed bytes.
 
 mod body;
+mod broken;
 mod early_response;
 mod endless;
 
--- a/crates/testbed/tests/suite/main.rs
+++ b/crates/testbed/tests/suite/main.rs
@@ -2,6 +2,7 @@
 //! and injected faults.
 
 mod addresses;
+mod broken_responses;
 mod configuration;
 mod health;
 mod keys;
