fix: fail broken responses in the clients of the table and of ebonyctl

The client of the table took a commit for done, rows or a list of hosts for read, and `ebonyctl` a reply for received (exit code 0), when the response had a blank before the colon of a field name, or broke off before its last chunk was complete. A connection that closed without a response counted as "the commit had no effect", though the table may have executed it. `ebonyctl` reported a status above 599 or an interim response as an invalid request (exit code 2).

Cause: both used the connections of the HTTP client library as they are, which take the peer's close for the end of a body and report a close before the head as a failure to connect; and the parser's gaps that the exchange no longer has.

Ruled out: a reset during the upload. A response without a length is an empty body to this library, which is no JSON; the whole request is written before the response is read.

Change: both use the strict connections of `run` mode, on which a close and a broken head are errors.

--- a/crates/ebonyctl/src/client.rs
+++ b/crates/ebonyctl/src/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ebonytack_core::{OperatorReply, OperatorRequest, RawDeclaration, Revision};
+use ebonytack_http::strict_connector;
 
 use crate::failure::Failure;
 
@@ -19,7 +20,7 @@
 impl Client {
     /// Creates a client that tries the admin addresses `hosts` in order.
     pub(crate) fn new(hosts: Vec<String>, token: String) -> Self {
-        let http = awc::Client::builder().timeout(TIMEOUT).finish();
+        let http = awc::Client::builder().connector(strict_connector()).timeout(TIMEOUT).finish();
         Self { hosts, token, http }
     }
 
--- a/crates/ebonyctl/tests/suite/main.rs
+++ b/crates/ebonyctl/tests/suite/main.rs
@@ -1,5 +1,7 @@
 //! Runs the `ebonyctl` binary and checks its output and exit codes.
 
+mod broken_responses;
+
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,6 +10,7 @@
 use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use ebonytack_core::{TableRequest, TableResponse};
+use ebonytack_http::strict_connector;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -36,7 +37,7 @@
 impl HttpPlatform {
     /// Creates a client of the platform at `address`, which connects with the first request.
     pub fn new(address: SocketAddr) -> Self {
-        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+        let connector = strict_connector().timeout(CONNECT_TIMEOUT);
         let client = awc::Client::builder().connector(connector).timeout(TIMEOUT).finish();
         Self { client, base_url: format!("http://{address}") }
     }
