fix(http): read a body whose encoding is not chunks to the end of its connection

Callers got an empty success, or a part of the body, for a response with "Transfer-Encoding: identity": "content-length: 0" in place of the instance's "hello", or "he" where a Content-Length of 2 stood beside it. Found by a trial of odd framings beside the reported ones.

Cause: any Transfer-Encoding counted as framing, while the parser reads a body in chunks only for `chunked`, and otherwise by the Content-Length or not at all.

Ruled out by the same trial: repeated, listed, signed and empty lengths, and encodings before or after the chunks. They failed before. Content-Length beside `chunked` is read by the chunks, as RFC 9112, section 6.3, rule 3 says.

Change: one function for the exchange and `run` mode says whether a body ends with its connection: without `chunked` as the last encoding it does (rule 4). The exchange then delivers it whole, after an orderly end; `run` mode, whose client library cannot read such bodies, fails the attempt as it does without a length. In `run` mode interim responses go on failing, which that function no longer decides.

--- a/crates/ebonytack/src/upstream/attempt.rs
+++ b/crates/ebonytack/src/upstream/attempt.rs
@@ -6,11 +6,12 @@
 
 use actix_http::error::ParseError;
 use actix_http::error::PayloadError;
-use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, RETRY_AFTER, TRANSFER_ENCODING};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, RETRY_AFTER};
 use actix_http::{Method, StatusCode};
 use awc::error::{ConnectError, SendRequestError};
 use bytes::BytesMut;
 use ebonytack_core::{AttemptOutcome, FailureKind, StoredResponse};
+use ebonytack_http::is_close_delimited;
 use futures_util::stream::{Stream, StreamExt, unfold};
 
 use super::{BodyStream, OutgoingRequest, UpstreamResponse};
@@ -88,7 +89,10 @@
     }
     let response = request.send_body(outgoing.body.clone()).await.map_err(classify)?;
     let (status, headers) = (response.status(), response.headers().clone());
-    if is_close_delimited(&outgoing.method, status, &headers) {
+    // The client takes an interim response for the final one, and a body that ends with its connection
+    // for an empty one.
+    let may_have_body = outgoing.method != Method::HEAD;
+    if status.is_informational() || (may_have_body && is_close_delimited(status, &headers)) {
         return Err(AttemptError { kind: FailureKind::Malformed, sent: true });
     }
     // The timeouts of this module apply instead of the client's own.
@@ -107,14 +111,6 @@
     Ok(UpstreamResponse { status, headers, body: body.freeze(), rest })
 }
 
-/// Returns whether the end of the connection ends the body (RFC 9112, section 6.3, rule 8). The client
-/// takes such a body for an empty one.
-fn is_close_delimited(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
-    let bodiless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    method != Method::HEAD && !bodiless && !framed
-}
-
 /// Returns a stream that fails when `stream` makes no progress for [`PROGRESS_TIMEOUT`].
 fn with_progress_timeout(
     stream: impl Stream<Item = Result<bytes::Bytes, PayloadError>> + Unpin + 'static,
--- a/crates/ebonytack/tests/suite/broken_responses.rs
+++ b/crates/ebonytack/tests/suite/broken_responses.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use ebonytack_stand_in::{
-    BrokenResponse, Caller, RawInstance, configuration, invalid_field_names, invalid_status_lines,
-    send_raw, signed_headers, truncated_responses,
+    BrokenResponse, Caller, ConnectionEnd, ENCODING_LINES, RawInstance, configuration,
+    invalid_field_names, invalid_status_lines, send_raw, signed_headers, truncated_responses,
 };
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -118,3 +118,24 @@
 async fn part_of_a_response_does_not_reach_the_caller() {
     assert_failure("truncated", truncated_responses(&signed_headers(ID), "hello")).await;
 }
+
+/// Guards against an empty body, or a part, in place of one whose encoding is not known.
+#[actix_rt::test]
+async fn response_with_another_encoding_than_chunks_reaches_the_caller_whole_or_not_at_all() {
+    let responses = ENCODING_LINES.map(|line| BrokenResponse {
+        name: line.to_owned(),
+        bytes: format!("HTTP/1.1 200 OK\r\n{}{line}\r\n\r\nhello", signed_headers(ID)).into_bytes(),
+        end: ConnectionEnd::Close,
+    });
+    let broken = BrokenFixture::start("encoding", responses[0].clone()).await;
+    for response in responses {
+        let name = response.name.clone();
+        *broken.response.borrow_mut() = response;
+        let received = broken.receive("/order/1").await;
+        let (head, body) = received.split_once("\r\n\r\n").expect("a response");
+        let is_whole = head.contains("content-length: 5") && body == "hello";
+        assert!(head.starts_with("HTTP/1.1 502 ") || is_whole, "{name}: {received}");
+        assert_eq!(head.matches("content-length").count(), 1, "{name}: {received}");
+        assert!(!head.contains("transfer-encoding"), "{name}: {received}");
+    }
+}
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message, MessageType};
-use actix_http::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use actix_http::header::{CONNECTION, HeaderMap, HeaderName};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri};
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,6 +15,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::error::{ExchangeError, ExchangeErrorKind};
+use crate::framing::is_close_delimited;
 use crate::head_check::HeadCheck;
 use crate::{Body, BodyBuffer, Connection, IncomingResponse, SEGMENT_BYTES};
 
@@ -360,7 +361,8 @@
             return Ok(None);
         };
         let body_bytes = self.body.len();
-        let close_delimited = !self.is_head_request && is_close_delimited(head);
+        let close_delimited =
+            !self.is_head_request && is_close_delimited(head.status, head.headers());
         let mut complete = false;
         if close_delimited {
             self.body.extend(&self.buffer.split());
@@ -400,15 +402,6 @@
     }
 }
 
-/// Returns whether the end of the connection ends the body (RFC 9112, section 6.3, rule 8).
-fn is_close_delimited(head: &ResponseHead) -> bool {
-    let bodiless = head.status.is_informational()
-        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let framed = head.headers().contains_key(CONTENT_LENGTH)
-        || head.headers().contains_key(TRANSFER_ENCODING);
-    !bodiless && !framed
-}
-
 fn is_persistent(head: &ResponseHead) -> bool {
     let closes = |value: &str| value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"));
     // A value that is not text cannot contain "close".
--- a/crates/http/tests/suite/broken.rs
+++ b/crates/http/tests/suite/broken.rs
@@ -1,11 +1,12 @@
 //! Exchanges with a peer whose response is broken.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use ebonytack_http::ExchangeErrorKind;
 use ebonytack_stand_in::{
-    BrokenResponse, ConnectionEnd, RawInstance, invalid_field_names, invalid_status_lines,
-    truncated_responses,
+    BrokenResponse, ConnectionEnd, ENCODING_LINES, RawInstance, invalid_field_names,
+    invalid_status_lines, truncated_responses,
 };
 
 use crate::run;
@@ -73,3 +74,25 @@
         assert_eq!(response.body.to_bytes(), BODY, "{text}");
     }
 }
+
+/// Guards against an empty body in place of one whose encoding is not known (RFC 9112, section 6.3,
+/// rule 4: it ends with the connection).
+#[actix_rt::test]
+async fn response_with_another_encoding_than_chunks_is_whole_or_fails() {
+    let mut other_bodies = Vec::new();
+    for line in ENCODING_LINES {
+        let text = format!("HTTP/1.1 200 OK\r\n{HEADERS}{line}\r\n\r\nhello");
+        for end in [ConnectionEnd::Close, ConnectionEnd::Reset(Duration::from_millis(20))] {
+            let (name, bytes) = (line.to_owned(), text.clone().into_bytes());
+            let response = BrokenResponse { name, bytes, end };
+            let peer = RawInstance::broken(response).await.expect("a peer starts");
+            if let Ok((response, _)) = run(peer.address, None).await {
+                let body = response.body.to_bytes();
+                if end != ConnectionEnd::Close || body != "hello" {
+                    other_bodies.push((line, end, body));
+                }
+            }
+        }
+    }
+    assert!(other_bodies.is_empty(), "{other_bodies:#?}");
+}
--- a/crates/testbed/tests/suite/broken_responses.rs
+++ b/crates/testbed/tests/suite/broken_responses.rs
@@ -8,8 +8,8 @@
 use awc::http::Method;
 use bytes::Bytes;
 use ebonytack_stand_in::{
-    BrokenResponse, ConnectionEnd, RawInstance, invalid_field_names, invalid_status_lines,
-    truncated_responses,
+    BrokenResponse, ConnectionEnd, ENCODING_LINES, RawInstance, invalid_field_names,
+    invalid_status_lines, truncated_responses,
 };
 use ebonytack_testbed::{Caller, CallerResponse, Fleet, InstanceFault};
 use tokio::net::TcpListener;
@@ -140,3 +140,14 @@
         }
     });
 }
+
+/// Guards against an empty body in place of one whose encoding is not known.
+#[test]
+fn response_with_another_encoding_than_chunks_is_not_passed_on_as_an_empty_one() {
+    let responses = ENCODING_LINES.map(|line| BrokenResponse {
+        name: line.to_owned(),
+        bytes: format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\nhello").into_bytes(),
+        end: ConnectionEnd::Close,
+    });
+    assert_failure(&responses);
+}
