--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -167,9 +167,9 @@
 
     /// Returns whether a response with this status that ends with its connection may be complete.
     ///
-    /// The kernel reports a reset once, either to a write or to a read. If a write gets the error, reads
-    /// report the end of the stream as if the peer had closed it. `BrokenPipe` means that the peer had
-    /// ended its stream before the reset.
+    /// The kernel reports a reset once, either to a write or to a read. If a write gets the error,
+    /// reads report the end of the stream as if the peer had closed it. `BrokenPipe` means that the
+    /// peer had ended its stream before the reset.
     ///
     /// A peer that ends its stream before it has received the request either rejects the request
     /// (RFC 9112, section 9.5) or has failed while responding, so only an error may be complete.
--- a/crates/http/src/head_check.rs
+++ b/crates/http/src/head_check.rs
@@ -1,8 +1,10 @@
 //! Checks of the heads of responses that the HTTP parser does not make.
 
-/// Follows the head of a response byte by byte and finds what the parser accepts: a status above 599, and
-/// blanks between the name of a field and its colon, which the parser removes. A peer that writes
-/// `Content-Length : 5` may mean another body than the one that the parser reads.
+/// Follows the head of a response byte by byte and finds two faults that the parser accepts:
+///
+/// - A status above 599.
+/// - Blanks between the name of a field and its colon, which the parser removes. A peer that writes
+///   `Content-Length : 5` may mean another body than the one that the parser reads.
 #[derive(Debug, Default)]
 pub(crate) struct HeadCheck {
     place: Place,
@@ -31,8 +33,8 @@
 }
 
 impl HeadCheck {
-    /// Returns whether no fault is known after these bytes. Checks the heads of interim responses and
-    /// that of the final one, and ignores what follows it.
+    /// Continues with the next bytes; returns whether they are free of these faults. Checks the heads
+    /// of interim responses and that of the final one, and ignores what follows it.
     pub(crate) fn accepts(&mut self, bytes: &[u8]) -> bool {
         for byte in bytes {
             self.place = match (self.place, byte) {
--- a/crates/http/src/strict_stream.rs
+++ b/crates/http/src/strict_stream.rs
@@ -1,4 +1,4 @@
-//! Connections of the HTTP client library whose end is an error.
+//! Connections for the HTTP client library on which a broken response is an error.
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
@@ -12,8 +12,8 @@
 
 use crate::head_check::HeadCheck;
 
-/// Returns a connector for HTTP clients whose connections report the peer's close, and the head of a
-/// response that the client would misread, as an error.
+/// Returns a connector for HTTP clients. Its connections report the peer's close, and faults in the
+/// heads of responses, as errors.
 pub fn strict_connector() -> awc::Connector<
     impl Service<
         ConnectInfo<Uri>,
@@ -35,8 +35,8 @@
 #[derive(Debug)]
 pub struct StrictStream {
     stream: TcpStream,
-    /// Invariant: begins anew with each write. The client reads a response only after it has written the
-    /// whole request, so the first byte that it reads then is that of a head.
+    /// Invariant: begins anew with each write. The client reads a response only after it has written
+    /// the whole request, so the first byte that it reads then is that of a head.
     head_check: HeadCheck,
 }
 
