test(http): hold what the exchange assumes of resets

A test on plain sockets shows that a write takes the error of a reset, that the next read returns 0, and that the error is BrokenPipe if the peer had ended its stream before. The tests of early responses also end the stream and reset the connection at once: an error is complete, a success is not.

--- a/crates/http/tests/suite/early_response.rs
+++ b/crates/http/tests/suite/early_response.rs
@@ -1,12 +1,14 @@
 //! Exchanges with a peer that responds while the request is still being written.
 
-use std::net::SocketAddr;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
 use ebonytack_http::{ExchangeError, ExchangeErrorKind};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::run;
 
@@ -25,6 +27,8 @@
     Shutdown,
     /// Ends its stream, and reads the request to its end.
     ShutdownAndRead,
+    /// Ends its stream, and resets the connection at once.
+    ShutdownAndReset,
 }
 
 /// Starts a peer that reads 1 KiB of the request, sends `response` and ends the connection after
@@ -40,11 +44,12 @@
         stream.write_all(response.as_bytes()).await.expect("the response is written");
         tokio::time::sleep(pause).await;
         match end {
-            End::Reset => {
-                // Fails only after the client has closed the connection.
-                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            }
+            End::Reset => reset(stream),
             End::CloseUnread => {}
+            End::ShutdownAndReset => {
+                stream.shutdown().await.expect("the stream ends");
+                reset(stream);
+            }
             End::Shutdown => {
                 stream.shutdown().await.expect("the stream ends");
                 tokio::time::sleep(Duration::from_secs(5)).await;
@@ -58,6 +63,11 @@
     address
 }
 
+fn reset(stream: TcpStream) {
+    // Fails only after the client has closed the connection.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
 /// Runs an exchange and returns the status and body of its response.
 async fn upload(
     response: &'static str,
@@ -101,7 +111,7 @@
 /// without a reset: a success before the whole request was sent does not show that it is whole.
 #[actix_rt::test]
 async fn early_success_without_a_length_is_incomplete() {
-    for end in [End::Shutdown, End::ShutdownAndRead] {
+    for end in [End::Shutdown, End::ShutdownAndRead, End::ShutdownAndReset] {
         for response in [
             "HTTP/1.1 200 OK\r\nx-id: mine\r\n\r\nsixteen bytes of",
             "HTTP/1.1 302 Found\r\nx-id: mine\r\nlocation: /\r\n\r\nsixteen bytes of",
@@ -116,7 +126,7 @@
 #[actix_rt::test]
 async fn early_error_without_a_length_is_complete_after_an_orderly_end() {
     let response = "HTTP/1.1 413 Too Large\r\nx-id: mine\r\n\r\ntoo large";
-    for end in [End::Shutdown, End::ShutdownAndRead] {
+    for end in [End::Shutdown, End::ShutdownAndRead, End::ShutdownAndReset] {
         for _ in 0..EXCHANGES {
             let (status, body) = upload(response, Duration::ZERO, end).await.expect("a response");
             assert_eq!((status, &body[..]), (413, &b"too large"[..]), "{end:?}");
@@ -136,3 +146,26 @@
         }
     }
 }
+
+/// Guards against a kernel that reports a reset otherwise than the exchange assumes: to a write, after
+/// which reads report the end of the stream; and as `BrokenPipe` if the peer had ended its stream.
+#[test]
+fn reset_is_reported_once() {
+    for (ends_stream, expected) in
+        [(false, ErrorKind::ConnectionReset), (true, ErrorKind::BrokenPipe)]
+    {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("the socket is bound");
+        let mut client = std::net::TcpStream::connect(address).expect("the peer listens");
+        let (peer, _) = listener.accept().expect("the client connects");
+        if ends_stream {
+            peer.shutdown(Shutdown::Write).expect("the stream ends");
+        }
+        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).expect("the socket takes the option");
+        drop(peer);
+        std::thread::sleep(Duration::from_millis(50));
+        let error = client.write(b"x").expect_err("the connection is reset");
+        assert_eq!(error.kind(), expected);
+        assert_eq!(client.read(&mut [0; 8]).expect("the end of the stream"), 0);
+    }
+}
