--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -414,6 +414,8 @@
     /// Whether it writes to the store.
     pub writes: Arc<AtomicBool>,
     pub work_ms: Arc<AtomicU64>,
+    /// Whether a heartbeat that changes nothing but `seq` leaves the row as it is.
+    pub is_quiet: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
     born_ms: u64,
     store: Store,
@@ -429,6 +431,7 @@
             is_draining: Arc::default(),
             writes: Arc::new(AtomicBool::new(true)),
             work_ms: Arc::new(AtomicU64::new(20)),
+            is_quiet: Arc::default(),
             sequence: Arc::default(),
             born_ms: unix_ms(),
             store: store.clone(),
@@ -442,7 +445,8 @@
         std::thread::spawn(move || {
             loop {
                 std::thread::sleep(HEARTBEAT);
-                if beating.writes.load(Ordering::SeqCst) {
+                let is_quiet = beating.is_quiet.load(Ordering::SeqCst);
+                if beating.writes.load(Ordering::SeqCst) && !is_quiet {
                     beating.register();
                 }
             }
