--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -127,6 +127,16 @@
         Ok(Some(Head { first_line, headers: headers.collect() }))
     }
 
+    /// Reads until at least `count` bytes have arrived that were not taken yet.
+    pub fn read_at_least(&mut self, count: usize) -> std::io::Result<()> {
+        while self.buffer.len() < count {
+            if !self.fill()? {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the body of a message with a length.
     pub fn read_body(&mut self, head: &Head) -> std::io::Result<Vec<u8>> {
         let length = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -458,11 +468,21 @@
     pub fn entry(&self) -> Vec<u8> {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        Self::entry_of(self.address, &self.service, self.born_ms, state, sequence)
+    }
+
+    /// Returns an entry with these values.
+    pub fn entry_of(
+        address: SocketAddr,
+        service: &str,
+        born_ms: u64,
+        state: &str,
+        sequence: u64,
+    ) -> Vec<u8> {
         format!(
-            "{{\"address\":\"{}\",\"born\":{},\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\
-             \"zone\":\"zone-a\",\"slots\":4}},\"status\":{{\"state\":\"{state}\",\
-             \"seq\":{sequence},\"warmupLeftS\":0}}}}",
-            self.address, self.born_ms, self.service
+            "{{\"address\":\"{address}\",\"born\":{born_ms},\"info\":{{\
+             \"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"zone-a\",\"slots\":4}},\
+             \"status\":{{\"state\":\"{state}\",\"seq\":{sequence},\"warmupLeftS\":0}}}}"
         )
         .into_bytes()
     }
