test(review): widen case 11 to eight hosts and half a second

The withdrawal now follows 0.5 s after the store's return, so that the case needs no window of milliseconds. Before that, two of five runs could not start their hosts: their ports were taken by outgoing connections. The stand-ins take ports below those now.

--- a/review/stand-ins-3/harness.rs
+++ b/review/stand-ins-3/harness.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -50,11 +50,25 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
-/// Returns `count` free ports of the loopback address.
+/// The ports for hosts, below those that the kernel gives to outgoing connections.
+const HOST_PORTS: std::ops::Range<u16> = 10_000..30_000;
+
+/// Returns `count` free ports of the loopback address, each only once in this process.
 pub fn free_ports(count: usize) -> Vec<u16> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    listeners.iter().map(|l| l.local_addr().expect("an address").port()).collect()
+    static TAKEN: AtomicU64 = AtomicU64::new(0);
+    let range = u64::from(HOST_PORTS.end - HOST_PORTS.start);
+    let first = u64::from(std::process::id()) * 97;
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let offset = (first + TAKEN.fetch_add(1, Ordering::SeqCst)) % range;
+        let port = HOST_PORTS.start + offset as u16;
+        let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if is_free {
+            ports.push(port);
+        }
+    }
+    ports
 }
 
 /// The head of an HTTP message.
--- a/review/stand-ins-3/reused_version.rs
+++ b/review/stand-ins-3/reused_version.rs
@@ -13,19 +13,23 @@
 
 /// The age of the copy, and how long the store is away.
 const COPY_AGE_S: f64 = 5.0;
-const AWAY_MS: u64 = 700;
+const AWAY_MS: u64 = 300;
+/// How many hosts the data centre has.
+const HOSTS: usize = 8;
 /// When the operator makes its two changes, after the copy.
 const CHANGES_S: [f64; 2] = [1.0, 2.5];
 /// When requests with the withdrawn key are sent, after the store is back. Hosts are in touch 3 s after its
 /// return and have to apply the change within 2 s.
 const FIRST_REQUEST_S: f64 = 3.5;
 const LAST_REQUEST_S: f64 = 13.0;
-const REQUEST_GAP_MS: u64 = 500;
+const REQUEST_GAP_MS: u64 = 100;
+/// When the key is withdrawn, after the store is back.
+const WITHDRAWN_S: f64 = 0.5;
 
 fn main() {
     let record = std::env::args().nth(1).expect("the path of the record");
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let world = World::start("reused-version", &record, 4, 2);
+    let world = World::start("reused-version", &record, 4, HOSTS);
     let callers: Vec<_> = world.hosts.iter().map(|host| host.callers).collect();
     let ask = |id: &str, key: &str, host: usize| {
         let answer = call(callers[host], &request("POST", "/order/x", id, key, b"one"));
@@ -36,7 +40,7 @@
         instance.is_quiet.store(true, Ordering::SeqCst);
     }
     sleep_ms(4_000);
-    if ask("before", "key-club-1", 0) != 200 || ask("before-2", "key-club-1", 1) != 200 {
+    if (0..HOSTS).any(|host| ask(&format!("before-{host}"), "key-club-1", host) != 200) {
         world.end(2);
     }
 
@@ -68,24 +72,29 @@
         world.store.come_back();
         world.note(&format!("the store is back at version {}", world.store.version()));
     }
+    let back_at = Instant::now();
+    sleep_until(back_at, WITHDRAWN_S);
     settings.version += 1;
     settings.club_keys.remove(0);
     let version = world.store.write("op", "config", Some(settings.encode()));
-    let back_at = Instant::now();
     world.note(&format!("key-club-1 is withdrawn, acknowledged with version {version:?}"));
 
     sleep_until(back_at, FIRST_REQUEST_S);
-    let (mut number, mut ran) = (0, 0);
+    let (mut number, mut ran, mut runs_by_host) = (0, 0, [0; HOSTS]);
     while back_at.elapsed().as_secs_f64() < LAST_REQUEST_S {
         let id = format!("withdrawn-{number}");
         world.note(&format!("{id} is sent, store version {}", world.store.version()));
-        ask(&id, "key-club-1", number % 2);
-        ran += world.run_count(&id);
+        ask(&id, "key-club-1", number % HOSTS);
+        let runs = world.run_count(&id);
+        ran += runs;
+        runs_by_host[number % HOSTS] += runs;
         number += 1;
         sleep_ms(REQUEST_GAP_MS);
     }
     let other = ask("other-key", "key-club-2", 0);
-    world.note(&format!("{ran} of {number} requests with the withdrawn key ran"));
+    world.note(&format!(
+        "{ran} of {number} requests with the withdrawn key ran; by host: {runs_by_host:?}"
+    ));
     if other != 200 {
         world.end(2);
     }
