--- /dev/null
+++ b/crates/ebonytack/tests/suite/restored.rs
@@ -0,0 +1,110 @@
+//! Tests of host processes whose store is restored from a copy, so that it gives out versions again.
+
+use std::time::Duration;
+
+use ebonytack_stand_in::{StandInInstance, StandInStore, StoreFault, configuration};
+
+use crate::host::{FAST, HostProcess, KEY};
+
+/// The time in which hosts read what was written.
+const READ_TIME: Duration = Duration::from_millis(1_500);
+/// How long the store is away.
+const AWAY_TIME: Duration = Duration::from_millis(300);
+/// The time after the return of the store from which a host counts as undisturbed; changes have to be
+/// in force 2 s after they were made.
+const CALM_TIME: Duration = Duration::from_secs(3);
+const NEW_KEY: &str = "new-key";
+
+/// Hosts of one data centre, of which the first reads the store for the others.
+struct RestoredFleet {
+    store: StandInStore,
+    stays: StandInInstance,
+    leaves: StandInInstance,
+    hosts: Vec<HostProcess>,
+}
+
+impl RestoredFleet {
+    async fn start(name: &str) -> Self {
+        let store = StandInStore::start().await.expect("the store starts");
+        store.put_configuration(&configuration(1, &[KEY, NEW_KEY]));
+        let [stays, leaves] =
+            [start_instance(&store, "stays").await, start_instance(&store, "leaves").await];
+        let mut hosts = Vec::new();
+        for number in 1..=3 {
+            hosts.push(HostProcess::start(&format!("{name}-{number}"), &store).await);
+        }
+        for host in &hosts[1..] {
+            host.wait_for_line(&["Operator is read from 127.0.0.1"]).await;
+            host.wait_for_line(&["Instances is read from 127.0.0.1"]).await;
+        }
+        tokio::time::sleep(READ_TIME).await;
+        Self { store, stays, leaves, hosts }
+    }
+
+    /// Returns the status with which each host answers a request with this key.
+    async fn statuses(&self, key: &str) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for host in &self.hosts {
+            statuses.push(host.request("/order/1", "o", key).await);
+        }
+        statuses
+    }
+}
+
+async fn start_instance(store: &StandInStore, id: &str) -> StandInInstance {
+    let instance = StandInInstance::start(id, FAST).await.expect("an instance starts");
+    store.put_instance(id, Some(instance.registration("stock", "ready")));
+    instance
+}
+
+/// Guards against a version that is given out again for a change of which the hosts then hear nothing:
+/// they have read that version before, and ask for what came after it.
+#[actix_rt::test]
+async fn key_withdrawn_under_a_version_that_was_read_before_is_refused() {
+    let fleet = RestoredFleet::start("reused").await;
+    let store = &fleet.store;
+    store.copy();
+    for revision in [2, 3] {
+        store.put_configuration(&configuration(revision, &[KEY, NEW_KEY]));
+    }
+    let read_version = store.version();
+    tokio::time::sleep(READ_TIME).await;
+    assert_eq!(fleet.statuses(KEY).await, [200; 3]);
+    store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(AWAY_TIME).await;
+    let lost = store.restore();
+    store.write_again(lost);
+    store.put_configuration(&configuration(4, &[NEW_KEY]));
+    assert_eq!(store.version(), read_version, "the version is given out again");
+    store.set_fault(StoreFault::None);
+    tokio::time::sleep(CALM_TIME).await;
+    assert_eq!(fleet.statuses(KEY).await, [401; 3]);
+    assert_eq!(fleet.statuses(NEW_KEY).await, [200; 3]);
+}
+
+/// Guards against the same for the entry of an instance: a host goes on using an instance that was
+/// withdrawn under a version that it has read before.
+#[actix_rt::test]
+async fn instance_withdrawn_under_a_version_that_was_read_before_is_not_used() {
+    let fleet = RestoredFleet::start("withdrawn-entry").await;
+    let store = &fleet.store;
+    store.copy();
+    for _ in 0..2 {
+        store.put_instance("stays", Some(fleet.stays.registration("stock", "ready")));
+    }
+    let read_version = store.version();
+    tokio::time::sleep(READ_TIME).await;
+    store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(AWAY_TIME).await;
+    let lost = store.restore();
+    store.write_again(lost);
+    store.put_instance("leaves", None);
+    assert_eq!(store.version(), read_version, "the version is given out again");
+    store.set_fault(StoreFault::None);
+    tokio::time::sleep(CALM_TIME).await;
+    let before = fleet.leaves.received_count();
+    for _ in 0..10 {
+        assert_eq!(fleet.statuses(KEY).await, [200; 3]);
+    }
+    assert_eq!(fleet.leaves.received_count(), before, "the instance was withdrawn");
+}
