fix(gateway): read all rows again when the store shows a new era

The store gives out versions again, and the withdrawal got the version that a lost change had had; hosts asked for what came after it and heard of nothing.

Cause: a position in a table was a bare version, and nothing read `Store-Era`. Hosts went on from a version of the earlier era, with the store and with the copies of other hosts.

Ruled out: the 410, which does not come when as many versions were given out again as were lost; the order by revision, since no revision arrived.

Change: `Position` is a pair of era and version, made by the store's client from the response's header. `TableCursor` decides on each response, without I/O: changes of a later era are dropped and all rows read, an earlier era is refused, and an era that any call shows counts for all tables. `TableCopy` holds rows of one era and sends readers of another one back. Hosts send the same header with their copies and `era` in their calls; a call without it is answered as before. The log names the position of reads of all rows, of refusals and of configurations; the metric is `ebonytack_store_era`.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -8,7 +8,9 @@
     CONFIGURATION_KEY, StoreError, StoreErrorKind, Table, decode_configuration, decode_instance,
     decode_member, encode_member, evacuated_data_centre,
 };
-use ebonytack_gateway::{Changes, Event, Member, Row, Source};
+use ebonytack_gateway::{
+    Changes, Era, Event, Member, Position, ReadResult, Row, Source, TableCursor,
+};
 
 use super::shell::GatewayShell;
 use super::sources::SourceClients;
@@ -96,14 +98,13 @@
         shell,
         clients,
         table,
-        version: None,
-        newest_version: 0,
+        cursor: TableCursor::default(),
         source: None,
         failing: false,
     };
     loop {
         let pause = follower.poll().await;
-        if table == Table::Members && follower.version.is_some() {
+        if table == Table::Members && follower.cursor.position().is_some() {
             register_member(&follower.shell, &member).await;
         }
         tokio::time::sleep(pause).await;
@@ -124,10 +125,7 @@
     shell: Rc<GatewayShell>,
     clients: Rc<SourceClients>,
     table: Table,
-    /// The version up to which changes were read; `None` when all rows have to be read.
-    version: Option<u64>,
-    /// The newest version that was read. Invariant: never decreases.
-    newest_version: u64,
+    cursor: TableCursor,
     /// The source of the last response.
     source: Option<Source>,
     /// Whether a call has failed since the last response.
@@ -137,6 +135,7 @@
 impl Follower {
     /// Reads once and returns the pause before the next read.
     async fn poll(&mut self) -> Duration {
+        self.cursor.on_era(self.clients.newest_era(&self.shell));
         let source = match self.clients.choose(&self.shell) {
             Ok(source) => source,
             Err(wait) => return wait,
@@ -144,9 +143,10 @@
         if source != Source::Store {
             self.shell.copy(self.table).invalidate();
         }
+        let after = self.cursor.position();
         let read = match source {
-            Source::Store => self.read_store().await,
-            Source::Peer(address) => match self.read_peer(address).await {
+            Source::Store => self.read_store(after).await,
+            Source::Peer(address) => match self.read_peer(address, after).await {
                 Some(read) => read,
                 None => {
                     log::info!("store: no longer receiving reports from {address}.");
@@ -156,32 +156,36 @@
             },
         };
         match read {
-            Ok(changes) => self.apply(source, &changes),
+            Ok(changes) => self.apply(source, after, &changes),
             Err(error) => self.handle_error(source, &error),
         }
     }
 
-    async fn read_store(&self) -> Result<Changes, StoreError> {
-        match self.version {
+    async fn read_store(&self, after: Option<Position>) -> Result<Changes, StoreError> {
+        match after {
             None => self.shell.store.read_all(self.table).await,
-            Some(version) => {
+            Some(position) => {
                 // After a failure, a call without a wait shows at once whether the store responds
                 // again.
                 let suspected = self.clients.is_store_suspected(&self.shell);
                 let wait = if suspected { Duration::ZERO } else { store_wait(self.table) };
-                self.shell.store.wait_for_changes(self.table, version, wait).await
+                self.shell.store.wait_for_changes(self.table, position, wait).await
             }
         }
     }
 
     /// Reads from another host. Returns `None` when that host's reports no longer arrive.
-    async fn read_peer(&self, address: SocketAddr) -> Option<Result<Changes, StoreError>> {
+    async fn read_peer(
+        &self,
+        address: SocketAddr,
+        after: Option<Position>,
+    ) -> Option<Result<Changes, StoreError>> {
         let client = self.clients.peer(address);
         let read = async {
-            match self.version {
+            match after {
                 None => client.read_all(self.table).await,
-                Some(version) => {
-                    client.wait_for_changes(self.table, version, peer_wait(self.table)).await
+                Some(position) => {
+                    client.wait_for_changes(self.table, position, peer_wait(self.table)).await
                 }
             }
         };
@@ -202,23 +206,44 @@
         }
     }
 
-    /// Passes changes on to the reducer and the shared copy, and returns the pause before the next
-    /// read.
-    fn apply(&mut self, source: Source, changes: &Changes) -> Duration {
-        let after = self.version;
-        let is_snapshot = after.is_none();
-        if is_snapshot && changes.version < self.newest_version {
-            // The source is behind what this host has already read.
-            self.clients.on_refusal(&self.shell, source);
-            return PEER_PAUSE;
-        }
+    /// Passes the response to a read of the changes after `after` on to the reducer and the shared copy,
+    /// and returns the pause before the next read.
+    fn apply(&mut self, source: Source, after: Option<Position>, changes: &Changes) -> Duration {
+        self.cursor.on_era(self.clients.newest_era(&self.shell));
+        let is_snapshot = match self.cursor.on_response(after, changes) {
+            ReadResult::Snapshot { .. } => true,
+            ReadResult::Changes => false,
+            ReadResult::Restored => {
+                log::info!(
+                    "store: {:?} from {} is of era {}; all rows are read again.",
+                    self.table,
+                    source_name(source),
+                    changes.position.era
+                );
+                self.clients.on_response(source);
+                return Duration::ZERO;
+            }
+            ReadResult::Behind => {
+                log::info!(
+                    "store: {:?} from {} is behind what was read before, at {}.",
+                    self.table,
+                    source_name(source),
+                    changes.position
+                );
+                self.clients.on_refusal(&self.shell, source);
+                return PEER_PAUSE;
+            }
+        };
         self.clients.on_success(&self.shell, source, changes);
         self.failing = false;
-        if self.source.replace(source) != Some(source) {
-            log::info!("store: {:?} is read from {}.", self.table, source_name(source));
+        if self.source.replace(source) != Some(source) || is_snapshot {
+            let position = changes.position;
+            log::info!(
+                "store: {:?} is read from {} at {position}.",
+                self.table,
+                source_name(source)
+            );
         }
-        self.version = Some(changes.version.max(self.newest_version));
-        self.newest_version = self.newest_version.max(changes.version);
         let copy = self.shell.copy(self.table);
         copy.apply(changes, is_snapshot);
         feed_changes(&self.shell, self.table, after, changes);
@@ -241,11 +266,13 @@
         let kind = error.kind();
         if kind == StoreErrorKind::HistoryGone {
             log::info!(
-                "store: the change history of {:?} is gone; all rows are read again.",
-                self.table
+                "store: {:?} from {}, era {}: the changes are no longer known; all rows are read again.",
+                self.table,
+                source_name(source),
+                self.clients.newest_era(&self.shell)
             );
             self.clients.on_response(source);
-            self.version = None;
+            self.cursor.on_history_gone();
             return Duration::ZERO;
         }
         metrics::counter!("ebonytack_store_failures_total", "kind" => kind.name()).increment(1);
@@ -276,15 +303,20 @@
 }
 
 /// Feeds the rows of a table to the reducer. An instance or member row that cannot be decoded counts
-/// as removed; a configuration that cannot be decoded is ignored. `after` is the version up to which
+/// as removed; a configuration that cannot be decoded is ignored. `after` is the position up to which
 /// changes were read before; without it the rows are all of the table.
-fn feed_changes(shell: &Rc<GatewayShell>, table: Table, after: Option<u64>, changes: &Changes) {
+fn feed_changes(
+    shell: &Rc<GatewayShell>,
+    table: Table,
+    after: Option<Position>,
+    changes: &Changes,
+) {
     let is_snapshot = after.is_none();
     match table {
         Table::Operator => {
             // Evacuations come first, so that a host that starts knows them before it serves.
             feed_evacuations(shell, after, changes);
-            feed_configuration(shell, &changes.rows);
+            feed_configuration(shell, changes.position.era, &changes.rows);
         }
         Table::Instances if is_snapshot => {
             let instances = changes.rows.iter().filter_map(|row| {
@@ -325,14 +357,14 @@
     }
 }
 
-fn feed_evacuations(shell: &Rc<GatewayShell>, after: Option<u64>, changes: &Changes) {
+fn feed_evacuations(shell: &Rc<GatewayShell>, after: Option<Position>, changes: &Changes) {
     let rows = changes.rows.iter();
     let rows = rows.filter_map(|row| evacuated_data_centre(&row.key).map(|name| (row, name)));
     let Some(after) = after else {
         let present = rows.filter(|(row, _)| row.value.is_some());
         shell.feed(Event::AllEvacuations {
             data_centres: present.map(|(_, name)| name.to_owned()).collect(),
-            version: changes.version,
+            version: changes.position.version,
         });
         return;
     };
@@ -342,17 +374,19 @@
             evacuated: row.value.is_some(),
             // A row that is not newer than what was read was missing there, because the store had
             // lost its history. It counts as of then, or it would be ignored as an old one.
-            version: row.version.max(after),
+            version: row.version.max(after.version),
         });
     }
 }
 
-fn feed_configuration(shell: &Rc<GatewayShell>, rows: &[Row]) {
+fn feed_configuration(shell: &Rc<GatewayShell>, era: Era, rows: &[Row]) {
     let row = rows.iter().rev().find(|row| row.key == CONFIGURATION_KEY);
     let Some((row, value)) = row.and_then(|row| Some((row, row.value.as_deref()?))) else {
         return;
     };
     if let Some(configuration) = ok_or_log(Table::Operator, row, decode_configuration(value)) {
+        let (revision, position) = (configuration.revision, Position { era, version: row.version });
+        log::info!("store: revision {revision} of the configuration is read, {position}.");
         shell.feed(Event::Configuration(Box::new(configuration)));
     }
 }
--- a/crates/ebonytack/src/gateway/relay.rs
+++ b/crates/ebonytack/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use actix_service::fn_service;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
-use ebonytack_adapter::{ProofSigner, RelayCall, encode_changes, relay_proof};
+use ebonytack_adapter::{ERA_HEADER, ProofSigner, RelayCall, encode_changes, relay_proof};
 use ebonytack_gateway::{Changes, CopyError};
 use ebonytack_wire::FleetSecret;
 use eyre::Result;
@@ -60,8 +60,11 @@
         return empty_response(StatusCode::NOT_FOUND);
     };
     let age_max = confirmation_age_max(call.table);
-    match shell.copy(call.table).wait_for_changes(call.after, call.wait, age_max).await {
-        Err(CopyError::NotConfirmed) => empty_response(StatusCode::SERVICE_UNAVAILABLE),
+    let copy = shell.copy(call.table);
+    match copy.wait_for_changes(call.after(copy.era()), call.wait, age_max).await {
+        Err(CopyError::NotConfirmed | CopyError::Behind) => {
+            empty_response(StatusCode::SERVICE_UNAVAILABLE)
+        }
         Err(CopyError::HistoryGone) => empty_response(StatusCode::GONE),
         Ok(mut changes) => {
             changes.store_reachable_for = shell.store_reachable_for();
@@ -71,8 +74,12 @@
 }
 
 fn changes_response(call: RelayCall, changes: Changes) -> Response<BoxBody> {
+    let era = changes.position.era;
     match encode_changes(changes) {
-        Ok(body) => Response::build(StatusCode::OK).body(body).map_into_boxed_body(),
+        Ok(body) => Response::build(StatusCode::OK)
+            .insert_header((ERA_HEADER, era))
+            .body(body)
+            .map_into_boxed_body(),
         Err(error) => {
             log::error!("relay: cannot encode {:?}: {error}.", call.table);
             empty_response(StatusCode::INTERNAL_SERVER_ERROR)
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -8,7 +8,7 @@
 
 use ebonytack_adapter::{ProofSigner, StoreClient};
 use ebonytack_core::Random;
-use ebonytack_gateway::{Changes, Event, NoSource, Source, SourceSelector};
+use ebonytack_gateway::{Changes, Era, Event, NoSource, Source, SourceSelector};
 
 use super::shell::GatewayShell;
 
@@ -19,6 +19,8 @@
     proof_signer: ProofSigner,
     /// Whether neither the store nor a host that reads it responds.
     unreachable: Cell<bool>,
+    /// The latest era of rows that were applied, of any table. Invariant: never decreases.
+    applied_era: Cell<Era>,
 }
 
 impl SourceClients {
@@ -29,6 +31,7 @@
             peers: RefCell::default(),
             proof_signer,
             unreachable: Cell::new(false),
+            applied_era: Cell::new(0),
         }
     }
 
@@ -49,6 +52,12 @@
         self.unreachable.get() || self.selector.borrow().is_store_suspected(shell.uptime())
     }
 
+    /// Returns the latest era of the store that this host knows of, from any call to the store or from
+    /// rows of another host.
+    pub(super) fn newest_era(&self, shell: &GatewayShell) -> Era {
+        self.applied_era.get().max(shell.store.newest_era())
+    }
+
     /// Returns the client for reading from another host, created at first use.
     pub(super) fn peer(&self, address: SocketAddr) -> Rc<StoreClient> {
         let mut peers = self.peers.borrow_mut();
@@ -61,6 +70,9 @@
     /// Records that a source returned rows.
     pub(super) fn on_success(&self, shell: &Rc<GatewayShell>, source: Source, changes: &Changes) {
         self.on_response(source);
+        let era = self.applied_era.get().max(changes.position.era);
+        self.applied_era.set(era);
+        metrics::gauge!("ebonytack_store_era").set(era as f64);
         if self.unreachable.replace(false) {
             let reachable_for = match source {
                 Source::Store => Some(Duration::ZERO),
--- a/crates/ebonytack/src/gateway/table_copy.rs
+++ b/crates/ebonytack/src/gateway/table_copy.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-use ebonytack_gateway::{Changes, CopyError, CopyResponse, TableCopy};
+use ebonytack_gateway::{Changes, CopyError, CopyResponse, Era, Position, TableCopy};
 use tokio::sync::Notify;
 
 /// A copy of a table that wakes long polls when it changes.
@@ -39,17 +39,22 @@
         }
     }
 
+    /// Returns the era of the rows; 0 before the first rows.
+    pub(super) fn era(&self) -> Era {
+        self.copy.borrow().era()
+    }
+
     /// Returns whether the copy has a row with this key and value.
     pub(super) fn contains(&self, key: &str, value: &[u8]) -> bool {
         self.copy.borrow().value(key) == Some(value)
     }
 
-    /// Returns the changes after version `after`, or all rows when it is `None`. Waits up to `wait`
-    /// for changes. Fails when the store's last response is older than `age_max`, or when the copy
-    /// no longer has the changes after that version.
+    /// Returns the changes after `after`, or all rows when it is `None`. Waits up to `wait` for
+    /// changes. Fails when the store's last response is older than `age_max`, or when the copy does
+    /// not have the changes after that position.
     pub(super) async fn wait_for_changes(
         &self,
-        after: Option<u64>,
+        after: Option<Position>,
         wait: Duration,
         age_max: Duration,
     ) -> Result<Changes, CopyError> {
--- a/crates/ebonytack/tests/suite/main.rs
+++ b/crates/ebonytack/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod host;
 mod instances;
 mod limits;
+mod restored;
 mod slow_readers;
 mod sources;
 mod stop_moments;
--- a/crates/gateway/src/cursor.rs
+++ b/crates/gateway/src/cursor.rs
@@ -26,11 +26,8 @@
         /// Whether rows of an earlier era were read before.
         restored: bool,
     },
-    /// The rows were changed after this position.
-    Changes {
-        /// Position from which the read continued.
-        after: Position,
-    },
+    /// The rows were changed after the position from which the read continued.
+    Changes,
     /// The store was restored since the last read. The rows are dropped, since others may have been
     /// changed or lost as well; all rows have to be read.
     Restored,
@@ -59,23 +56,23 @@
         self.position = None;
     }
 
-    /// Decides on the response to a read of the changes after [`position`](Self::position), or of all
-    /// rows if there was none.
-    pub fn on_response(&mut self, changes: &Changes) -> ReadResult {
+    /// Decides on the response to a read of the changes after `after`, or of all rows if it is `None`:
+    /// what [`position`](Self::position) returned when the read began. Another call may have shown a
+    /// later era since.
+    pub fn on_response(&mut self, after: Option<Position>, changes: &Changes) -> ReadResult {
         let read = changes.position;
-        let Some(after) = self.position else {
-            return self.on_snapshot(read);
-        };
-        if read.era < after.era {
+        let Some(after) = after else { return self.on_snapshot(read) };
+        if read.era < self.newest.era {
             return ReadResult::Behind;
         }
-        if self.on_era(read.era) {
+        self.on_era(read.era);
+        if self.position != Some(after) {
             return ReadResult::Restored;
         }
         // A peer that is behind returns no changes, and an older version.
         self.newest = self.newest.max(read);
         self.position = Some(self.newest);
-        ReadResult::Changes { after }
+        ReadResult::Changes
     }
 
     fn on_snapshot(&mut self, read: Position) -> ReadResult {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod balance;
 mod configuration;
+mod cursor;
 mod effect;
 mod evacuations;
 mod event;
@@ -14,6 +15,7 @@
 mod gateway;
 mod instance;
 mod limits;
+mod position;
 mod record;
 mod report;
 mod request;
@@ -31,12 +33,14 @@
 pub use configuration::{
     CallerLimits, Configuration, Customer, Route, ServiceSpec, Target, WarmUp,
 };
+pub use cursor::{ReadResult, TableCursor};
 pub use effect::Effect;
 pub use event::{AttemptResult, Event, InstanceNotice, UpstreamResponse};
 pub use fleet::Member;
 pub use gateway::{Gateway, GatewaySettings};
 pub use instance::{Instance, InstanceState};
 pub use limits::{SharedBucket, SharedRate};
+pub use position::{Era, Position, Version};
 pub use record::Record;
 pub use report::{CustomerReport, InstanceReport, Report, Scope, Section};
 pub use request::IncomingRequest;
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod cluster;
+mod cursor;
 mod customers;
 mod evacuation;
 mod fleet;
