fix(gateway): accept lower versions of a later era

Cause: a read of all rows was refused when its version was below the highest one that was ever read. The hosts got 410, read all rows each half second, and dropped them.

Change: positions are compared as pairs of era and version. A host that is behind within an era is still refused.

--- a/crates/ebonytack/tests/suite/restored.rs
+++ b/crates/ebonytack/tests/suite/restored.rs
@@ -82,6 +82,30 @@
     assert_eq!(fleet.statuses(NEW_KEY).await, [200; 3]);
 }
 
+/// Guards against hosts that refuse what a restored store returns because they have read a higher
+/// version before.
+#[actix_rt::test]
+async fn key_withdrawn_under_a_lower_version_than_was_read_before_is_refused() {
+    let fleet = RestoredFleet::start("lower").await;
+    let store = &fleet.store;
+    store.copy();
+    for revision in 2..=20 {
+        store.put_configuration(&configuration(revision, &[KEY, NEW_KEY]));
+    }
+    let read_version = store.version();
+    tokio::time::sleep(READ_TIME).await;
+    store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(AWAY_TIME).await;
+    let lost = store.restore();
+    store.write_again(lost);
+    store.put_configuration(&configuration(21, &[NEW_KEY]));
+    assert!(store.version() < read_version, "the versions are lower than before");
+    store.set_fault(StoreFault::None);
+    tokio::time::sleep(CALM_TIME).await;
+    assert_eq!(fleet.statuses(KEY).await, [401; 3]);
+    assert_eq!(fleet.statuses(NEW_KEY).await, [200; 3]);
+}
+
 /// Guards against the same for the entry of an instance: a host goes on using an instance that was
 /// withdrawn under a version that it has read before.
 #[actix_rt::test]
--- a/crates/gateway/src/cursor.rs
+++ b/crates/gateway/src/cursor.rs
@@ -47,7 +47,7 @@
         if era <= self.newest.era {
             return false;
         }
-        self.newest.era = era;
+        self.newest = Position { era, version: 0 };
         self.position.take().is_some()
     }
 
@@ -76,7 +76,7 @@
     }
 
     fn on_snapshot(&mut self, read: Position) -> ReadResult {
-        if read.version < self.newest.version || read.era < self.newest.era {
+        if read < self.newest {
             return ReadResult::Behind;
         }
         let restored = self.rows_era.replace(read.era).is_some_and(|era| era < read.era);
--- a/crates/gateway/tests/suite/cursor.rs
+++ b/crates/gateway/tests/suite/cursor.rs
@@ -68,3 +68,19 @@
     assert_eq!(respond(&mut cursor, 1, 45), ReadResult::Behind);
     assert_eq!(respond(&mut cursor, 1, 50), ReadResult::Snapshot { restored: false });
 }
+
+/// Guards against a host that refuses a restored store because it has read a higher version before.
+#[test]
+fn lower_version_of_a_later_era_is_newer() {
+    for (shown_before, version) in [(false, 3), (true, 3), (true, 0)] {
+        let mut cursor = cursor();
+        if shown_before {
+            cursor.on_era(2);
+        } else {
+            assert_eq!(respond(&mut cursor, 2, version), ReadResult::Restored);
+        }
+        assert_eq!(respond(&mut cursor, 2, version), ReadResult::Snapshot { restored: true });
+        assert_eq!(respond(&mut cursor, 2, version + 1), ReadResult::Changes);
+        assert_eq!(cursor.position(), Some(Position { era: 2, version: version + 1 }));
+    }
+}
