fix(gateway): follow evacuations over a restore of the store

Callers: read in the code, not met by the review: after a restore, the row of an evacuation that is written or taken back counted as old until the store's versions had passed those seen before, and an evacuation that the copy lacks ended at once, so that requests would go to an evacuated data centre until the operator has written it again.

Change: rows and lists carry their position. An evacuation that the first list of a later era lacks stays in force for 5 s, and longer while the store is unreachable; a row of the later era decides at once. The log's `evacuation-changed` has the field `era`.

Ruled out: ending it at once and sending again what failed: an order that was sent cannot be taken back. Keeping it for good: nobody could end an evacuation whose row was never written again.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -364,7 +364,7 @@
         let present = rows.filter(|(row, _)| row.value.is_some());
         shell.feed(Event::AllEvacuations {
             data_centres: present.map(|(_, name)| name.to_owned()).collect(),
-            version: changes.position.version,
+            position: changes.position,
         });
         return;
     };
@@ -374,7 +374,7 @@
             evacuated: row.value.is_some(),
             // A row that is not newer than what was read was missing there, because the store had
             // lost its history. It counts as of then, or it would be ignored as an old one.
-            version: row.version.max(after.version),
+            position: Position { era: after.era, version: row.version.max(after.version) },
         });
     }
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,7 +4,7 @@
 
 use ebonytack_core::{AttemptId, DataCentreId, InstanceId, RequestId};
 
-use crate::{Configuration, IncomingRequest, Instance, Member, Report};
+use crate::{Configuration, IncomingRequest, Instance, Member, Position, Report};
 
 /// An input to [`Gateway::step`](crate::Gateway::step).
 #[derive(Clone, Debug)]
@@ -42,8 +42,8 @@
     AllEvacuations {
         /// Data centres to whose instances nothing more is to be sent.
         data_centres: Vec<DataCentreId>,
-        /// Version of the table.
-        version: u64,
+        /// Position in the table. A list of a later era may lack rows that will be written again.
+        position: Position,
     },
     /// The evacuation of a data centre began or ended.
     Evacuation {
@@ -51,8 +51,8 @@
         data_centre: DataCentreId,
         /// Whether the evacuation began; it ended otherwise.
         evacuated: bool,
-        /// Version of the row; a lower one than the last of the data centre is ignored.
-        version: u64,
+        /// Position of the row; an earlier one than the last of the data centre is ignored.
+        position: Position,
     },
     /// The complete list of instances was read from the store.
     AllInstances(Vec<Instance>),
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -71,6 +71,8 @@
     Overdue(AttemptId),
     /// The removal of instances that did not register again within the grace period.
     EntryGraceExpired,
+    /// The end of evacuations that a restored store lacks.
+    EvacuationUnconfirmed,
     /// The removal of expired members and decayed counts.
     Housekeeping,
     /// The end of the time that a stopping host leaves to requests in flight.
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -33,11 +33,11 @@
             Event::Notice { attempt, notice } => self.on_notice(attempt, notice),
             Event::Attempt { attempt, result } => self.on_attempt(attempt, result),
             Event::Configuration(configuration) => self.on_configuration(*configuration),
-            Event::AllEvacuations { data_centres, version } => {
-                self.on_all_evacuations(data_centres, version);
+            Event::AllEvacuations { data_centres, position } => {
+                self.on_all_evacuations(data_centres, position);
             }
-            Event::Evacuation { data_centre, evacuated, version } => {
-                self.on_evacuation(data_centre, evacuated, version);
+            Event::Evacuation { data_centre, evacuated, position } => {
+                self.on_evacuation(data_centre, evacuated, position);
             }
             Event::AllInstances(instances) => self.on_all_instances(instances),
             Event::Instance(instance) => self.on_instance(instance),
@@ -64,6 +64,7 @@
             TimerEvent::Expiry(request) => self.on_expiry(request),
             TimerEvent::Overdue(attempt) => self.on_overdue(attempt),
             TimerEvent::EntryGraceExpired => self.remove_instances_without_entry(),
+            TimerEvent::EvacuationUnconfirmed => self.end_unconfirmed_evacuations(),
             TimerEvent::Housekeeping => self.run_housekeeping(),
             TimerEvent::Exit => self.refuse_remaining(),
         }
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -3,6 +3,8 @@
 use ebonytack_core::{DataCentreId, InstanceId, RunState, ServiceId};
 use serde::Serialize;
 
+use crate::{Era, Version};
+
 /// One line of the log: a decision about a request, or a change of the host's state.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "event")]
@@ -120,8 +122,10 @@
         data_centre: DataCentreId,
         /// Whether its instances are no longer used.
         evacuated: bool,
+        /// Era of the store from which the change comes.
+        era: Era,
         /// Version of the store's table from which the change comes.
-        version: u64,
+        version: Version,
     },
     /// An instance was added or removed, or its state changed.
     InstanceChanged {
--- a/crates/gateway/tests/suite/evacuation.rs
+++ b/crates/gateway/tests/suite/evacuation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ebonytack_core::{Random, RefusalReason, RunState};
-use ebonytack_gateway::{Event, Instance, Record};
+use ebonytack_gateway::{Era, Event, Instance, Position, Record};
 use quickcheck::{QuickCheck, TestResult};
 
 use crate::support::{Harness, attempts, configuration, failed, instance, member, response};
@@ -25,12 +25,21 @@
 }
 
 fn row(data_centre: &str, evacuated: bool, version: u64) -> Event {
-    Event::Evacuation { data_centre: data_centre.to_owned(), evacuated, version }
+    row_in(1, data_centre, evacuated, version)
+}
+
+fn row_in(era: Era, data_centre: &str, evacuated: bool, version: u64) -> Event {
+    let position = Position { era, version };
+    Event::Evacuation { data_centre: data_centre.to_owned(), evacuated, position }
 }
 
 fn snapshot(data_centres: &[&str], version: u64) -> Event {
+    snapshot_in(1, data_centres, version)
+}
+
+fn snapshot_in(era: Era, data_centres: &[&str], version: u64) -> Event {
     let data_centres = data_centres.iter().map(|name| (*name).to_owned()).collect();
-    Event::AllEvacuations { data_centres, version }
+    Event::AllEvacuations { data_centres, position: Position { era, version } }
 }
 
 /// Sends requests at the same time, so that the load spreads, and returns the instances that get
@@ -59,7 +68,7 @@
         let mut harness = harness(&["a", "b"]);
         harness.step(row(evacuated, true, 5));
         let data_centre = evacuated.to_owned();
-        let record = Record::EvacuationChanged { data_centre, evacuated: true, version: 5 };
+        let record = Record::EvacuationChanged { data_centre, evacuated: true, era: 1, version: 5 };
         assert_eq!(harness.records(), [record]);
         assert_eq!(used(&mut harness), names(&[rest]));
         harness.step(row(evacuated, false, 6));
@@ -182,6 +191,69 @@
     assert_eq!(used(&mut harness), names(&["i-0"]));
 }
 
+/// Guards against an evacuation that is written or taken back after the store was restored from a copy
+/// and that is ignored because its version is lower than one seen before.
+#[test]
+fn evacuation_of_a_later_era_is_followed_under_a_lower_version() {
+    let mut harness = harness(&["a", "b"]);
+    harness.step(snapshot(&["b"], 90));
+    harness.step(snapshot_in(2, &["b"], 40));
+    harness.step(row_in(2, "b", false, 41));
+    assert_eq!(used(&mut harness), names(&["i-0", "i-1"]));
+    harness.step(row_in(2, "a", true, 42));
+    assert_eq!(used(&mut harness), names(&["i-1"]));
+    harness.step(row("a", false, 95));
+    harness.step(snapshot(&[], 96));
+    assert_eq!(used(&mut harness), names(&["i-1"]), "the earlier era is over");
+    harness.step(snapshot_in(3, &["a", "b"], 10));
+    harness.step(row_in(3, "a", false, 11));
+    assert_eq!(
+        used(&mut harness),
+        names(&["i-0"]),
+        "an evacuation that is back is in force at once"
+    );
+}
+
+/// Guards against requests to an evacuated data centre while the restored store lacks its row.
+#[test]
+fn evacuation_that_a_restored_store_lacks_stays_until_it_is_written_again() {
+    let mut harness = harness(&["a", "b"]);
+    harness.step(row("b", true, 90));
+    harness.step(snapshot_in(2, &[], 40));
+    harness.advance(Duration::from_secs(1));
+    harness.step(snapshot_in(2, &[], 41));
+    harness.advance(Duration::from_secs(1));
+    assert_eq!(used(&mut harness), names(&["i-0"]));
+    harness.step(row_in(2, "b", true, 42));
+    harness.advance(Duration::from_secs(60));
+    assert_eq!(used(&mut harness), names(&["i-0"]));
+    harness.step(snapshot_in(3, &[], 41));
+    harness.step(row_in(3, "b", false, 42));
+    assert_eq!(
+        used(&mut harness),
+        names(&["i-0", "i-1"]),
+        "a row of the later era ends it at once"
+    );
+}
+
+/// Guards against an evacuation that nobody can end because the restored store lacks its row for good.
+#[test]
+fn evacuation_that_is_not_written_again_ends() {
+    let mut harness = harness(&["a", "b"]);
+    harness.step(row("b", true, 90));
+    harness.step(snapshot_in(2, &[], 40));
+    // The store is restored twice in a row: the operator has as long as after the first time.
+    harness.advance(Duration::from_secs(4));
+    harness.step(snapshot_in(3, &[], 30));
+    harness.advance(Duration::from_secs(4));
+    harness.step(Event::StoreUnreachable);
+    harness.advance(Duration::from_secs(10));
+    assert_eq!(used(&mut harness), names(&["i-0"]));
+    harness.step(Event::StoreReachable { reachable_for: Duration::ZERO });
+    harness.advance(Duration::from_secs(2));
+    assert_eq!(used(&mut harness), names(&["i-0", "i-1"]));
+}
+
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 
 /// Guards against any order of rows and snapshots, late, repeated or lost, after which the state is
--- a/crates/gateway/tests/suite/warm_up.rs
+++ b/crates/gateway/tests/suite/warm_up.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ebonytack_core::RefusalReason;
-use ebonytack_gateway::{Configuration, Event, Instance, Record, ServiceSpec, WarmUp, WarmUpLimit};
+use ebonytack_gateway::{
+    Configuration, Event, Instance, Position, Record, ServiceSpec, WarmUp, WarmUpLimit,
+};
 
 use crate::cluster::{KEY, Network};
 use crate::support::{Harness, configuration, instance, member, rejected, response};
@@ -139,8 +141,10 @@
     let mut harness = harness(2, 0, limited(1));
     let remote = Instance { data_centre: "b".to_owned(), ..instance(2) };
     harness.step(Event::Instance(remote));
-    let evacuation =
-        |evacuated, version| Event::Evacuation { data_centre: "b".to_owned(), evacuated, version };
+    let evacuation = |evacuated, version| {
+        let position = Position { era: 1, version };
+        Event::Evacuation { data_centre: "b".to_owned(), evacuated, position }
+    };
     harness.step(evacuation(true, 5));
     send(&mut harness, 400, Duration::from_millis(10));
     harness.step(evacuation(false, 6));
--- a/crates/gateway/tests/suite/warm_up_site.rs
+++ b/crates/gateway/tests/suite/warm_up_site.rs
@@ -6,7 +6,7 @@
 
 use ebonytack_core::Random;
 use ebonytack_gateway::{
-    AttemptResult, Event, Gateway, IncomingRequest, Instance, UpstreamResponse,
+    AttemptResult, Event, Gateway, IncomingRequest, Instance, Position, UpstreamResponse,
 };
 
 use crate::cluster::{Cluster, KEY, SETTLED, TICK};
@@ -76,8 +76,9 @@
 
     pub(crate) fn evacuate(&mut self, evacuated: bool) {
         self.version += 1;
-        let (data_centre, version) = ("b".to_owned(), self.version);
-        self.feed_all(&Event::Evacuation { data_centre, evacuated, version });
+        let position = Position { era: 1, version: self.version };
+        let data_centre = "b".to_owned();
+        self.feed_all(&Event::Evacuation { data_centre, evacuated, position });
         if !evacuated {
             self.make_cold(FIRST_COLD);
         }
