fix(gateway): hold and withhold entries of instances after a restore of the store

An instance that had registered within the seconds that a restored store has lost was given up at once, and its connections closed, until it wrote its entry again; and an instance whose removal was lost got new requests until the removal was written again.

Cause: the list of a restored store was taken for the present state. The grace period for entries that are missing began with an outage only, which a host need not notice.

Change: the first list of a later era is preceded by `Event::StoreRestored`. For the grace period of 1.8 s, a ready instance that the list lacks stays in use, and an entry whose removal the host has seen is withheld unless it is newer. A removal written in the later era counts at once. Then what is still missing is removed, and what is still there is used: the entry had expired after the copy was made, and does not change while only its number rises. `store-restored` is one log line an era.

Unchanged and tested here: a lower revision of the configuration stays ignored, a draining instance stays so, and a live host without a member row stays a peer.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -211,7 +211,12 @@
     fn apply(&mut self, source: Source, after: Option<Position>, changes: &Changes) -> Duration {
         self.cursor.on_era(self.clients.newest_era(&self.shell));
         let is_snapshot = match self.cursor.on_response(after, changes) {
-            ReadResult::Snapshot { .. } => true,
+            ReadResult::Snapshot { restored } => {
+                if restored && self.table == Table::Instances {
+                    self.shell.feed(Event::StoreRestored { era: changes.position.era });
+                }
+                true
+            }
             ReadResult::Changes => false,
             ReadResult::Restored => {
                 log::info!(
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -4,7 +4,7 @@
 
 use ebonytack_core::{AttemptId, DataCentreId, InstanceId, RequestId};
 
-use crate::{Configuration, IncomingRequest, Instance, Member, Position, Report};
+use crate::{Configuration, Era, IncomingRequest, Instance, Member, Position, Report};
 
 /// An input to [`Gateway::step`](crate::Gateway::step).
 #[derive(Clone, Debug)]
@@ -54,6 +54,12 @@
         /// Position of the row; an earlier one than the last of the data centre is ignored.
         position: Position,
     },
+    /// The store was restored from a copy since the instances were last read. Precedes the list of
+    /// those that it holds now.
+    StoreRestored {
+        /// Era of the restored store.
+        era: Era,
+    },
     /// The complete list of instances was read from the store.
     AllInstances(Vec<Instance>),
     /// An instance was registered or its entry changed.
--- a/crates/gateway/src/gateway/known_process.rs
+++ b/crates/gateway/src/gateway/known_process.rs
@@ -20,6 +20,8 @@
     sequence: u64,
     /// The entry that the store holds although its process started earlier, and since when.
     earlier_start: Option<(Instance, Duration)>,
+    /// The entry that a restored store holds although the host has seen its removal.
+    withheld: Option<Instance>,
     /// When the entry was removed; `None` while there is one.
     removed_at: Option<Duration>,
     availability: Availability,
@@ -41,6 +43,7 @@
             started_at_unix_ms: entry.started_at_unix_ms,
             sequence: entry.sequence,
             earlier_start: None,
+            withheld: None,
             removed_at: None,
             availability: Availability::default(),
         }
@@ -85,8 +88,29 @@
         false
     }
 
+    /// Withholds an entry that is not newer than the removed one, and returns whether it did: the store
+    /// was restored from a copy that still holds it.
+    pub(super) fn withhold(&mut self, entry: &Instance) -> bool {
+        let is_same_process = entry.started_at_unix_ms == self.started_at_unix_ms;
+        let is_known = is_same_process && entry.sequence <= self.sequence;
+        let is_withheld = self.removed_at.is_some() && is_known;
+        if is_withheld {
+            self.withheld = Some(entry.clone());
+        }
+        is_withheld
+    }
+
+    /// Returns the withheld entry, which is now to be used since its removal was not repeated.
+    pub(super) fn take_withheld(&mut self) -> Option<Instance> {
+        let entry = self.withheld.take()?;
+        let availability = self.availability;
+        *self = Self { availability, ..Self::new(&entry) };
+        Some(entry)
+    }
+
     /// Records that the entry was removed.
     pub(super) fn remove(&mut self, now: Duration) {
+        self.withheld = None;
         self.earlier_start = None;
         self.removed_at.get_or_insert(now);
     }
--- a/crates/gateway/src/gateway/state.rs
+++ b/crates/gateway/src/gateway/state.rs
@@ -51,8 +51,8 @@
     pub warm_up_factor: f64,
     /// Requests that it accepts beyond that multiple.
     pub warm_up_allowance: f64,
-    /// Time after the store's recovery for which an instance stays in use although its entry was
-    /// removed, since the instance may register again.
+    /// Time after the store's recovery or restore for which an instance stays in use although its entry
+    /// was removed or lost, since the instance may register again.
     pub entry_grace_period: Duration,
 }
 
@@ -69,7 +69,7 @@
     Expiry(RequestId),
     /// An attempt has taken much longer than expected.
     Overdue(AttemptId),
-    /// The removal of instances that did not register again within the grace period.
+    /// The end of the grace period in which instances register again.
     EntryGraceExpired,
     /// The end of evacuations that a restored store lacks.
     EvacuationUnconfirmed,
@@ -162,6 +162,9 @@
     pub(super) next_attempt: AttemptId,
     /// When the store became reachable; zero if it was never lost, `None` while unreachable.
     pub(super) store_reachable_since: Option<Duration>,
+    /// End of the grace period after a restore of the store, in which entries that it lost are written
+    /// again; `None` before the first.
+    pub(super) restored_until: Option<Duration>,
     pub(super) report_sequence: u64,
     /// Whether anything changed since the last report to the group.
     pub(super) report_due: bool,
@@ -210,6 +213,7 @@
             attempts: BTreeMap::new(),
             next_attempt: 1,
             store_reachable_since: Some(Duration::ZERO),
+            restored_until: None,
             report_sequence: 0,
             report_due: false,
             report_urgent: false,
--- a/crates/gateway/src/gateway/step.rs
+++ b/crates/gateway/src/gateway/step.rs
@@ -39,6 +39,7 @@
             Event::Evacuation { data_centre, evacuated, position } => {
                 self.on_evacuation(data_centre, evacuated, position);
             }
+            Event::StoreRestored { era } => self.on_store_restored(era),
             Event::AllInstances(instances) => self.on_all_instances(instances),
             Event::Instance(instance) => self.on_instance(instance),
             Event::InstanceRemoved(id) => self.on_instance_removed(&id),
@@ -63,7 +64,7 @@
             TimerEvent::RemoteReport => self.send_remote_report(),
             TimerEvent::Expiry(request) => self.on_expiry(request),
             TimerEvent::Overdue(attempt) => self.on_overdue(attempt),
-            TimerEvent::EntryGraceExpired => self.remove_instances_without_entry(),
+            TimerEvent::EntryGraceExpired => self.end_entry_grace(),
             TimerEvent::EvacuationUnconfirmed => self.end_unconfirmed_evacuations(),
             TimerEvent::Housekeeping => self.run_housekeeping(),
             TimerEvent::Exit => self.refuse_remaining(),
--- a/crates/gateway/src/gateway/store.rs
+++ b/crates/gateway/src/gateway/store.rs
@@ -11,7 +11,7 @@
 use crate::balance::{LongTermAttemptStats, RecentAttemptStats};
 use crate::report::short_id;
 use crate::trial::Evidence;
-use crate::{Configuration, Effect, Instance, InstanceState, Record, RequestClasses};
+use crate::{Configuration, Effect, Era, Instance, InstanceState, Record, RequestClasses};
 
 /// Time between two checks for expired members and decayed counts.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
@@ -64,8 +64,10 @@
         let listed: BTreeSet<&InstanceId> = instances.iter().map(|instance| &instance.id).collect();
         let removed: Vec<InstanceId> =
             self.processes.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        // An entry that a restored store lacks was lost, unless it is still missing later.
+        let lost = self.is_store_recently_restored();
         for id in removed {
-            self.on_instance_removed(&id);
+            self.remove_entry(&id, lost);
         }
         for instance in instances {
             self.on_instance(instance);
@@ -75,9 +77,12 @@
     /// Puts an entry into use, unless the host has already seen a newer one of its id.
     pub(super) fn on_instance(&mut self, instance: Instance) {
         let now = self.now;
+        let may_be_outdated =
+            self.is_store_recently_restored() && !self.instances.contains_key(&instance.id);
         let process = self.processes.entry(instance.id.clone());
         let process = process.or_insert_with(|| KnownProcess::new(&instance));
-        if !process.accept(&instance, now) {
+        let withheld = may_be_outdated && process.withhold(&instance);
+        if withheld || !process.accept(&instance, now) {
             self.record(Record::InstanceEntryIgnored {
                 instance: instance.id,
                 started_at_unix_ms: instance.started_at_unix_ms,
@@ -118,6 +123,11 @@
     /// Removes an instance. A ready instance stays in use while the store is unreachable and during
     /// the grace period after an outage, since it may register again.
     pub(super) fn on_instance_removed(&mut self, id: &InstanceId) {
+        self.remove_entry(id, false);
+    }
+
+    /// Removes an instance, which stays in use also if its entry was `lost` and it is ready.
+    fn remove_entry(&mut self, id: &InstanceId, lost: bool) {
         if let Some(process) = self.processes.get_mut(id) {
             process.remove(self.now);
         }
@@ -127,7 +137,7 @@
             Some(at) => at > Duration::ZERO && self.now < at + grace_period,
         };
         match self.instances.get_mut(id) {
-            Some(view) if keep && view.instance.state == InstanceState::Ready => {
+            Some(view) if (keep || lost) && view.instance.state == InstanceState::Ready => {
                 view.without_entry = true;
                 self.record_instance(id);
             }
@@ -139,8 +149,10 @@
         }
     }
 
-    pub(super) fn remove_instances_without_entry(&mut self) {
-        if self.store_reachable_since.is_none() {
+    /// Removes the instances that did not register again within the grace period, and uses those whose
+    /// entries a restored store has kept so long.
+    pub(super) fn end_entry_grace(&mut self) {
+        if self.store_reachable_since.is_none() || self.is_store_recently_restored() {
             return;
         }
         let without_entry: Vec<InstanceId> = self
@@ -153,6 +165,11 @@
             self.record_removed(&id);
             self.remove_instance(&id);
         }
+        let withheld: Vec<Instance> =
+            self.processes.values_mut().filter_map(KnownProcess::take_withheld).collect();
+        for instance in withheld {
+            self.use_entry(instance);
+        }
     }
 
     fn remove_instance(&mut self, id: &InstanceId) {
@@ -204,6 +221,19 @@
         }
     }
 
+    /// Begins the grace period in which the instances write entries again that the store has lost, and
+    /// entries are withheld that were removed after the copy was made.
+    pub(super) fn on_store_restored(&mut self, era: Era) {
+        let until = self.now + self.settings.entry_grace_period;
+        self.record(Record::StoreRestored { era, revision: self.revision() });
+        self.restored_until = Some(until);
+        self.timers.arm(until, TimerEvent::EntryGraceExpired);
+    }
+
+    fn is_store_recently_restored(&self) -> bool {
+        self.restored_until.is_some_and(|until| self.now < until)
+    }
+
     pub(super) fn run_housekeeping(&mut self) {
         let now = self.now;
         self.timers.arm(now + HOUSEKEEPING_INTERVAL, TimerEvent::Housekeeping);
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -135,7 +135,7 @@
         service: ServiceId,
         /// `ready`, `draining`, `gone`, `leaving` for an instance that said so in a response, or `held`
         /// for one that stays in use although its entry was removed during or shortly after an outage
-        /// of the store.
+        /// or lost by a restore of the store.
         state: &'static str,
     },
     /// An entry of an instance was ignored because the host has seen a newer one.
@@ -191,6 +191,13 @@
         /// Whether the tables of the store can be read.
         reachable: bool,
     },
+    /// The store was restored from a copy. What was written since the copy may be missing for a moment.
+    StoreRestored {
+        /// Era of the restored store.
+        era: Era,
+        /// Revision of the configuration in force, which stays so; 0 without a configuration.
+        revision: u64,
+    },
     /// A graceful shutdown began.
     StopBegan {
         /// Requests that have no final response yet.
@@ -219,7 +226,7 @@
             | Self::InstancePaused { .. }
             | Self::InstanceAvoided { .. } => "health",
             Self::FleetHeard { .. } => "fleet",
-            Self::Store { .. } => "store",
+            Self::Store { .. } | Self::StoreRestored { .. } => "store",
             Self::StopBegan { .. } => "stop",
         }
     }
--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -4,6 +4,7 @@
 
 use ebonytack_gateway::{AttemptResult, Event, Gateway, Record, Report};
 
+use crate::cluster::{Cluster, SETTLED};
 use crate::support::{
     Harness, configuration, failed, instance, member, reports, response, settings,
 };
@@ -201,3 +202,18 @@
     }
     assert!(tried, "the instance is tried again");
 }
+
+/// Guards against a host that is no longer a peer because the restored store lacks its row.
+#[test]
+fn live_host_without_a_row_stays_a_peer() {
+    let mut cluster = Cluster::new(1, 3, 1, 1);
+    cluster.advance(SETTLED);
+    let heard = cluster.hosts[0].1.read_peers(cluster.now);
+    assert_eq!(heard.following.len(), 2);
+    for host in 0..3 {
+        let registered = vec![cluster.hosts[0].0.clone()];
+        cluster.step(host, Event::AllMembers(registered));
+    }
+    cluster.advance(SETTLED);
+    assert_eq!(cluster.hosts[0].1.read_peers(cluster.now), heard);
+}
--- a/crates/gateway/tests/suite/store.rs
+++ b/crates/gateway/tests/suite/store.rs
@@ -340,3 +340,97 @@
         assert_eq!(harness.only_attempt().1, "i-1");
     }
 }
+
+/// Feeds the list of a store that was restored from a copy.
+fn restore(harness: &mut Harness, instances: Vec<Instance>) {
+    harness.step(Event::StoreRestored { era: 2 });
+    harness.step(Event::AllInstances(instances));
+}
+
+/// Guards against an instance that is given up because the restored store lacks its entry for a moment.
+#[test]
+fn entry_that_a_restored_store_lacks_stays_in_use_until_it_is_written_again() {
+    let mut harness = Harness::new(2);
+    restore(&mut harness, vec![instance(0)]);
+    harness.advance(Duration::from_millis(1_000));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+    // The row is the lost one, written once more.
+    harness.step(Event::Instance(instance(1)));
+    harness.advance(Duration::from_secs(60));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+}
+
+/// Guards against requests to an instance that has left: its entry is missing for good, or is removed
+/// after the restore.
+#[test]
+fn instance_that_does_not_write_its_lost_entry_again_is_removed() {
+    let mut harness = Harness::new(3);
+    restore(&mut harness, vec![instance(0), instance(1)]);
+    harness.step(Event::InstanceRemoved("i-1".to_owned()));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-2"], "a removal of the later era counts");
+    harness.advance(Duration::from_millis(1_900));
+    assert_eq!(used_instances(&mut harness), ["i-0"]);
+}
+
+/// Guards against new requests to an instance whose removal the restored store has lost.
+#[test]
+fn removed_instance_whose_entry_a_restored_store_holds_is_not_used() {
+    for sequence in [2, 3] {
+        let mut harness = Harness::new(2);
+        harness.step(Event::Instance(entry(0, 1, 3, InstanceState::Ready)));
+        harness.step(Event::InstanceRemoved("i-0".to_owned()));
+        restore(&mut harness, vec![entry(0, 1, sequence, InstanceState::Ready), instance(1)]);
+        assert_eq!(used_instances(&mut harness), ["i-1"]);
+        harness.advance(Duration::from_millis(1_000));
+        assert_eq!(used_instances(&mut harness), ["i-1"]);
+        // The removal is written again.
+        harness.step(Event::InstanceRemoved("i-0".to_owned()));
+        harness.advance(Duration::from_secs(60));
+        assert_eq!(used_instances(&mut harness), ["i-1"]);
+    }
+}
+
+/// Guards against an instance that is never used again: its entry had expired between the copy and the
+/// restore, and the store keeps the copy's, which does not change.
+#[test]
+fn entry_that_a_restored_store_keeps_is_used_in_the_end() {
+    for sequence in [2, 3] {
+        let mut harness = Harness::new(2);
+        harness.step(Event::Instance(entry(0, 1, 3, InstanceState::Ready)));
+        harness.step(Event::InstanceRemoved("i-0".to_owned()));
+        restore(&mut harness, vec![entry(0, 1, sequence, InstanceState::Ready), instance(1)]);
+        harness.advance(Duration::from_millis(1_900));
+        assert_eq!(used_instances(&mut harness), ["i-0", "i-1"], "sequence {sequence}");
+    }
+}
+
+/// Guards against a draining instance that gets requests because the restored store has its earlier
+/// entry, and against a withdrawn key that the copy's configuration brings back.
+#[test]
+fn restored_store_takes_back_neither_draining_nor_the_configuration_in_force() {
+    let mut harness = Harness::new(2);
+    harness.step(Event::Configuration(Box::new(configuration(5))));
+    harness.step(Event::Instance(entry(0, 1, 3, InstanceState::Draining)));
+    restore(&mut harness, vec![entry(0, 1, 2, InstanceState::Ready), instance(1)]);
+    harness.step(Event::Configuration(Box::new(configuration(4))));
+    harness.advance(Duration::from_secs(10));
+    assert_eq!(used_instances(&mut harness), ["i-1"]);
+    assert_eq!(harness.gateway.configuration().expect("a configuration").revision, 5);
+    harness.step(Event::Configuration(Box::new(configuration(6))));
+    assert_eq!(harness.gateway.configuration().expect("a configuration").revision, 6);
+}
+
+/// Guards against a second restore that ends the grace period of the first, or an outage that does.
+#[test]
+fn each_restore_begins_a_grace_period_of_its_own() {
+    let mut harness = Harness::new(2);
+    restore(&mut harness, vec![instance(0)]);
+    harness.advance(Duration::from_millis(1_500));
+    restore(&mut harness, vec![instance(0)]);
+    harness.step(Event::StoreUnreachable);
+    harness.step(Event::StoreReachable { reachable_for: Duration::from_secs(1) });
+    harness.advance(Duration::from_millis(1_500));
+    assert_eq!(used_instances(&mut harness), ["i-0", "i-1"]);
+    harness.advance(Duration::from_millis(500));
+    assert_eq!(used_instances(&mut harness), ["i-0"]);
+}
