perf(gateway): read all rows of a restored store on one host of a data centre

Callers: none harmed; the store is. After a restore each host whose peers had just refused its read went to the store and read all rows itself, up to 442 hosts at once.

Change: a host that others precede by name forgets their refusals when it learns of a new era, asks them for up to 1 s, again after 150 ms, and only then reads the store. That leaves half of the 2 s in which a change has to be in force. A host without others before it reads at once.

The decision alone: `sources::host_waits_for_preceding_peers_…`, `sources::first_host_reads_a_restored_store_at_once`.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -135,7 +135,7 @@
 impl Follower {
     /// Reads once and returns the pause before the next read.
     async fn poll(&mut self) -> Duration {
-        self.cursor.on_era(self.clients.newest_era(&self.shell));
+        self.note_era();
         let source = match self.clients.choose(&self.shell) {
             Ok(source) => source,
             Err(wait) => return wait,
@@ -161,6 +161,15 @@
         }
     }
 
+    /// Takes over the latest era that any call has shown.
+    fn note_era(&mut self) {
+        let era = self.clients.newest_era(&self.shell);
+        if self.cursor.on_era(era) {
+            log::info!("store: era {era} begins; all rows of {:?} are read again.", self.table);
+            self.clients.on_restored(&self.shell, era);
+        }
+    }
+
     async fn read_store(&self, after: Option<Position>) -> Result<Changes, StoreError> {
         match after {
             None => self.shell.store.read_all(self.table).await,
@@ -209,7 +218,7 @@
     /// Passes the response to a read of the changes after `after` on to the reducer and the shared copy,
     /// and returns the pause before the next read.
     fn apply(&mut self, source: Source, after: Option<Position>, changes: &Changes) -> Duration {
-        self.cursor.on_era(self.clients.newest_era(&self.shell));
+        self.note_era();
         let is_snapshot = match self.cursor.on_response(after, changes) {
             ReadResult::Snapshot { restored } => {
                 if restored && self.table == Table::Instances {
@@ -226,6 +235,7 @@
                     changes.position.era
                 );
                 self.clients.on_response(source);
+                self.clients.on_restored(&self.shell, changes.position.era);
                 return Duration::ZERO;
             }
             ReadResult::Behind => {
@@ -277,6 +287,7 @@
                 self.clients.newest_era(&self.shell)
             );
             self.clients.on_response(source);
+            self.note_era();
             self.cursor.on_history_gone();
             return Duration::ZERO;
         }
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -21,6 +21,8 @@
     unreachable: Cell<bool>,
     /// The latest era of rows that were applied, of any table. Invariant: never decreases.
     applied_era: Cell<Era>,
+    /// The latest era in which all rows had to be read again. Invariant: never decreases.
+    restored_era: Cell<Era>,
 }
 
 impl SourceClients {
@@ -32,6 +34,7 @@
             proof_signer,
             unreachable: Cell::new(false),
             applied_era: Cell::new(0),
+            restored_era: Cell::new(0),
         }
     }
 
@@ -85,6 +88,13 @@
         }
     }
 
+    /// Records that all rows of a table have to be read because of this era.
+    pub(super) fn on_restored(&self, shell: &GatewayShell, era: Era) {
+        if self.restored_era.replace(era) < era {
+            self.selector.borrow_mut().on_restored(shell.uptime());
+        }
+    }
+
     /// Records that a source responded, also without rows.
     pub(super) fn on_response(&self, source: Source) {
         self.selector.borrow_mut().on_success(source);
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -23,6 +23,11 @@
 /// Maximum backoff for the store on a host that at least `PEERS_TRIED_MAX` peers precede by name;
 /// they already retry the store.
 const STORE_BACKOFF_WITH_PEERS: Duration = Duration::from_millis(1_500);
+/// How long a host that others precede by name waits for them after the store was restored, before it
+/// reads all rows from the store itself. Leaves half of the 2 s within which changes have to be in force.
+const RESTORED_STORE_WAIT: Duration = Duration::from_secs(1);
+/// Backoff for a peer that refused in that time.
+const RESTORED_REFUSAL_BACKOFF: Duration = Duration::from_millis(150);
 /// How long a failed call shows that this host cannot reach the store. A host that reads from another
 /// one makes no calls that could show the opposite. Longer than the time between two probes of an
 /// unreachable store.
@@ -63,6 +68,9 @@
     backoffs: BTreeMap<Source, Backoff>,
     /// When this host's last call to the store failed; `None` if it succeeded.
     store_failed_at: Option<Duration>,
+    /// Time until which preceding peers are preferred to the store although they refuse; `None` unless
+    /// the store was restored.
+    peers_only_until: Option<Duration>,
 }
 
 /// A source that is not used for some time.
@@ -85,7 +93,7 @@
 impl SourceSelector {
     /// Creates a selector without any backoff; `random` spreads the backoffs.
     pub fn new(random: Random) -> Self {
-        Self { random, backoffs: BTreeMap::new(), store_failed_at: None }
+        Self { random, backoffs: BTreeMap::new(), store_failed_at: None, peers_only_until: None }
     }
 
     /// Returns the source to read from now.
@@ -100,8 +108,11 @@
             first.copied().map(Source::Peer).collect::<Vec<_>>()
         };
         let mut order = first_peers(&read_peers.preceding);
-        order.push(Source::Store);
-        if store_suspected {
+        let peers_only = self.is_waiting_for_peers(now) && !order.is_empty();
+        if !peers_only {
+            order.push(Source::Store);
+        }
+        if store_suspected && !peers_only {
             order.extend(first_peers(&read_peers.following));
         }
         let backoff_left = |source: &Source| {
@@ -116,8 +127,11 @@
             }
             return Ok(source);
         }
-        let wait = order.iter().map(backoff_left).min().unwrap_or(STORE_BACKOFF);
-        let store_backoff = self.backoffs.get(&Source::Store);
+        let mut wait = order.iter().map(backoff_left).min().unwrap_or(STORE_BACKOFF);
+        if let Some(until) = self.peers_only_until.filter(|_| peers_only) {
+            wait = wait.min(until.saturating_sub(now));
+        }
+        let store_backoff = self.backoffs.get(&Source::Store).filter(|_| !peers_only);
         let is_outage = store_backoff.is_some_and(|b| b.cause == BackoffCause::Failure);
         Err(NoSource { wait, is_outage })
     }
@@ -127,6 +141,17 @@
         self.store_failed_at.is_some_and(|at| now < at + STORE_FAILURE_TTL)
     }
 
+    /// Records that the store was restored, so that all rows have to be read. Peers may refuse only
+    /// because they have not noticed, or are reading.
+    pub fn on_restored(&mut self, now: Duration) {
+        self.backoffs.retain(|_, backoff| backoff.cause != BackoffCause::Refusal);
+        self.peers_only_until = Some(now + RESTORED_STORE_WAIT);
+    }
+
+    fn is_waiting_for_peers(&self, now: Duration) -> bool {
+        self.peers_only_until.is_some_and(|until| now < until)
+    }
+
     /// Ends the backoff of a source that responded.
     pub fn on_success(&mut self, source: Source) {
         self.backoffs.remove(&source);
@@ -137,7 +162,11 @@
 
     /// Starts the backoff of a peer that does not currently read the store.
     pub fn on_refusal(&mut self, source: Source, now: Duration) {
-        self.back_off(source, now + PEER_REFUSAL_BACKOFF, BackoffCause::Refusal);
+        let backoff = match self.is_waiting_for_peers(now) {
+            true => RESTORED_REFUSAL_BACKOFF,
+            false => PEER_REFUSAL_BACKOFF,
+        };
+        self.back_off(source, now + backoff, BackoffCause::Refusal);
     }
 
     /// Starts the backoff of a source that did not respond or returned an error.
--- a/crates/gateway/tests/suite/sources.rs
+++ b/crates/gateway/tests/suite/sources.rs
@@ -161,3 +161,37 @@
     }
     QuickCheck::new().tests(500).quickcheck(holds as fn(Vec<(u8, u8)>) -> bool);
 }
+
+/// Guards against all hosts of a data centre that read all rows of a restored store: the host that reads
+/// for them refuses their reads while it is about to read them itself.
+#[test]
+fn host_waits_for_preceding_peers_before_it_reads_a_restored_store() {
+    let mut second = selector();
+    second.on_refusal(Source::Peer(address(1)), NOW);
+    assert_eq!(second.choose(&read_peers(2), NOW), Ok(Source::Store));
+    second.on_restored(NOW);
+    let mut now = NOW;
+    while now < NOW + Duration::from_millis(900) {
+        assert_eq!(second.choose(&read_peers(2), now), Ok(Source::Peer(address(1))));
+        second.on_refusal(Source::Peer(address(1)), now);
+        let none = second.choose(&read_peers(2), now).expect_err("the peer has just refused");
+        assert!(!none.is_outage);
+        now += none.wait;
+    }
+    let almost = NOW + Duration::from_millis(990);
+    second.on_failure(Source::Peer(address(1)), &read_peers(2), almost);
+    let none = second.choose(&read_peers(2), almost).expect_err("the peer has just failed");
+    assert_eq!(none.wait, Duration::from_millis(10), "the store is not waited for any longer");
+    let later = NOW + Duration::from_secs(1);
+    assert_eq!(second.choose(&read_peers(2), later), Ok(Source::Store));
+}
+
+/// Guards against a host without others before it that does not read the restored store at once.
+#[test]
+fn first_host_reads_a_restored_store_at_once() {
+    let mut first = selector();
+    first.on_restored(NOW);
+    assert_eq!(first.choose(&read_peers(1), NOW), Ok(Source::Store));
+    first.on_failure(Source::Store, &read_peers(1), NOW);
+    assert_eq!(first.choose(&read_peers(1), NOW), Ok(Source::Peer(address(2))));
+}
