test(gateway): play random histories of restores without I/O

Three to five hosts read a table from the store and from each other while it is written, copied, restored, written again and compacted; responses are delayed, reads given up, hosts restarted, and another call shows the era first.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod recovery;
 mod restarts;
+mod restored_store;
 mod shortage;
 mod sources;
 mod store;
