--- a/crates/ebonytack/tests/suite/restored.rs
+++ b/crates/ebonytack/tests/suite/restored.rs
@@ -190,3 +190,22 @@
     assert_eq!(fleet.statuses(KEY).await, [401; 3]);
     assert_eq!(fleet.statuses(NEW_KEY).await, [200; 3]);
 }
+
+/// Guards against a host that stays unknown to the others because the restored store lacks its row, which
+/// it reads from a peer.
+#[actix_rt::test]
+async fn host_whose_row_was_lost_registers_again() {
+    let mut fleet = RestoredFleet::start("registered").await;
+    fleet.store.copy();
+    fleet.hosts.push(HostProcess::start("registered-4", &fleet.store).await);
+    fleet.hosts[3].wait_for_line(&["Members is read from 127.0.0.1"]).await;
+    let registered = fleet.store.members();
+    assert_eq!(registered.len(), 4);
+    fleet.restore(|store| assert_eq!(store.members().len(), 3)).await;
+    for host in &fleet.hosts {
+        host.signal(Signal::SIGHUP);
+    }
+    tokio::time::sleep(CALM_TIME).await;
+    assert_eq!(fleet.store.members(), registered);
+    assert_eq!(fleet.statuses(KEY).await, [200; 4]);
+}
