feat(observe): count and log refused rows once in a row

A host that knows an era refuses the copies of hosts of an earlier build several times a second; each refusal was a log line. Only the first in a row is logged, and all are counted, as `ebonytack_store_failures_total` with the kind `behind`. The era for which peers are preferred never decreases, also when tables notice it in another order.

--- a/crates/ebonytack/src/gateway/follow.rs
+++ b/crates/ebonytack/src/gateway/follow.rs
@@ -101,6 +101,7 @@
         cursor: TableCursor::default(),
         source: None,
         failing: false,
+        refusing: false,
     };
     loop {
         let pause = follower.poll().await;
@@ -130,6 +131,8 @@
     source: Option<Source>,
     /// Whether a call has failed since the last response.
     failing: bool,
+    /// Whether rows were refused since others were applied.
+    refusing: bool,
 }
 
 impl Follower {
@@ -239,18 +242,23 @@
                 return Duration::ZERO;
             }
             ReadResult::Behind => {
-                log::info!(
-                    "store: {:?} from {} is behind what was read before, at {}.",
-                    self.table,
-                    source_name(source),
-                    changes.position
-                );
+                metrics::counter!("ebonytack_store_failures_total", "kind" => "behind")
+                    .increment(1);
+                // Only the first refusal in a row is logged; the counter above counts all.
+                if !std::mem::replace(&mut self.refusing, true) {
+                    log::info!(
+                        "store: {:?} from {} is behind what was read before, at {}.",
+                        self.table,
+                        source_name(source),
+                        changes.position
+                    );
+                }
                 self.clients.on_refusal(&self.shell, source);
                 return PEER_PAUSE;
             }
         };
         self.clients.on_success(&self.shell, source, changes);
-        self.failing = false;
+        (self.failing, self.refusing) = (false, false);
         if self.source.replace(source) != Some(source) || is_snapshot {
             let position = changes.position;
             log::info!(
--- a/crates/ebonytack/src/gateway/sources.rs
+++ b/crates/ebonytack/src/gateway/sources.rs
@@ -90,7 +90,8 @@
 
     /// Records that all rows of a table have to be read because of this era.
     pub(super) fn on_restored(&self, shell: &GatewayShell, era: Era) {
-        if self.restored_era.replace(era) < era {
+        if era > self.restored_era.get() {
+            self.restored_era.set(era);
             self.selector.borrow_mut().on_restored(shell.uptime());
         }
     }
