--- a/crates/ebonytack/tests/soak/faults.rs
+++ b/crates/ebonytack/tests/soak/faults.rs
@@ -32,6 +32,8 @@
     Instance(usize, Behaviour),
     Drain(usize),
     Configuration,
+    /// A copy of the store is made at the start, and the store is restored from it at the end.
+    Restore,
 }
 
 /// A fault with its start and length.
@@ -68,6 +70,17 @@
         Self { faults, length }
     }
 
+    /// Adds one or two restores of the store; the other faults of a seed stay as they are.
+    pub(crate) fn with_restores(mut self, random: &mut Random) -> Self {
+        for _ in 0..=random.below(2) {
+            let at = self.length.mul_f64(0.05 + 0.65 * random.next_f64());
+            let length = Duration::from_secs_f64(0.2 + random.next_f64() * LENGTH_MAX_S);
+            self.faults.push(PlannedFault { at, length, fault: Fault::Restore });
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+        self
+    }
+
     /// Injects the faults and restarts processes that exit.
     pub(crate) async fn run(&self, fleet: &mut TestFleet) {
         let started_at = Instant::now();
@@ -160,6 +173,7 @@
         Fault::Instance(instance, behaviour) => fleet.instances[instance].set_behaviour(behaviour),
         Fault::Drain(instance) => fleet.drain(instance),
         Fault::Configuration => fleet.change_configuration(),
+        Fault::Restore => fleet.store.copy(),
     }
 }
 
@@ -172,6 +186,10 @@
             fleet.instance_links[instance].set_fault(LinkFault::default());
         }
         Fault::Instance(instance, _) => fleet.instances[instance].set_behaviour(HEALTHY),
+        Fault::Restore => {
+            let lost = fleet.store.restore();
+            fleet.store.write_again(lost);
+        }
         Fault::Kill(_)
         | Fault::Terminate(_)
         | Fault::HangUp(_)
--- a/crates/ebonytack/tests/soak/main.rs
+++ b/crates/ebonytack/tests/soak/main.rs
@@ -30,7 +30,7 @@
 /// Runs one seed and returns the violations.
 async fn run_seed(seed: u64) -> Vec<String> {
     let mut random = Random::new(seed);
-    let plan = Plan::random(&mut random, FAULT_TIME);
+    let plan = Plan::random(&mut random, FAULT_TIME).with_restores(&mut Random::new(!seed));
     let mut fleet = TestFleet::start(seed).await;
     let traffic = Traffic::start(&fleet, random.below(usize::MAX) as u64);
     plan.run(&mut fleet).await;
