test(gateway): look at the peers as soon as the rows of a restored store are read

The test passed also with the guard taken out, in which hosts that send their own counts stay peers of the group: the next report of each made it a peer again before the test looked. It looks at once now, and later as before, and fails without the guard.

--- a/crates/gateway/tests/suite/fleet.rs
+++ b/crates/gateway/tests/suite/fleet.rs
@@ -214,6 +214,8 @@
         let registered = vec![cluster.hosts[0].0.clone()];
         cluster.step(host, Event::AllMembers(registered));
     }
+    // At once as well as later: until its next report arrives, nothing else makes a host a peer again.
+    assert_eq!(cluster.hosts[0].1.read_peers(cluster.now), heard);
     cluster.advance(SETTLED);
     assert_eq!(cluster.hosts[0].1.read_peers(cluster.now), heard);
 }
